Crash quarantine: suspects run apart, and what a dead node ran is known

Ruled out: a late gossip message (all came in 2 ms), the pause check, the wave rule. Change: a suspect waits the settle time after each crash known of it and shares no server with other granted content; other content goes past a suspect's server; a granted run of a suspect is told to all members before it begins and counts if its server dies; cleared records are told; an arbiter takes a cleared record, and goes past a first choice that crashed.

--- a/modules/qh_node/node.cpp
+++ b/modules/qh_node/node.cpp
@@ -265,6 +265,8 @@
         return quarantine_.OnGrantCall(call.body);
       case PeerCallKind::kGrantEnd:
         return quarantine_.OnGrantEndCall(call.body);
+      case PeerCallKind::kGrantedRun:
+        return quarantine_.OnGrantedRunCall(call.body);
       case PeerCallKind::kSuspicion:
         return quarantine_.OnSuspicionCall(call.body);
       case PeerCallKind::kDemand:
--- a/modules/qh_node/serving/quarantine_shell.cpp
+++ b/modules/qh_node/serving/quarantine_shell.cpp
@@ -65,6 +65,10 @@
       break;
     }
     if (answer.decision == GrantDecision::kRun) {
+      if (!ask.crashed.empty()) {
+        const GrantedRun run = {spec.id, spec.fingerprint, answer.server};
+        TellAll(PeerCallKind::kGrantedRun, run.Encode());
+      }
       return answer.server;
     }
     std::this_thread::sleep_for(kGrantRetry);
@@ -99,11 +103,17 @@
 
 void QuarantineShell::EndGrant(const GrantEnd& end) {
   const std::lock_guard lock(mutex_);
+  quarantine_.OnEndedElsewhere(end.request);
   if (arbiter_) {
     arbiter_->OnEnded(end, quarantine_, MonotonicNow());
   }
 }
 
+bool QuarantineShell::SuspectElsewhere(const ServerId& server) {
+  const std::lock_guard lock(mutex_);
+  return quarantine_.SuspectElsewhere(server, MonotonicNow());
+}
+
 void QuarantineShell::OnDispatched(const RequestSpec& spec,
                                    const ServerId& server) {
   const std::lock_guard lock(mutex_);
@@ -132,20 +142,10 @@
     }
   }
   Tell(cleared);
-  const auto arbiter = end ? Arbiter() : std::nullopt;
-  if (!arbiter) {
-    return;
+  if (end) {
+    EndGrant(*end);
+    TellAll(PeerCallKind::kGrantEnd, end->Encode());
   }
-  if (arbiter->id == self_) {
-    return EndGrant(*end);
-  }
-  calls_.Run([this, peer = arbiter->peers, body = end->Encode()] {
-    const auto told =
-        client_.Call(peer, {PeerCallKind::kGrantEnd, body}, kTellTimeout);
-    if (!told) {
-      LogLine("grant_end_not_told").With(told.error()).Debug();
-    }
-  });
 }
 
 void QuarantineShell::OnServerDied(const BackendServer& server,
@@ -173,18 +173,24 @@
 
 void QuarantineShell::Tell(const std::vector<SuspicionRecord>& records) {
   for (const SuspicionRecord& record : records) {
-    for (const Member& member : LiveMembers()) {
-      if (member.id == self_) {
-        continue;
-      }
-      calls_.Run([this, peer = member.peers, body = record.Encode()] {
-        const auto told =
-            client_.Call(peer, {PeerCallKind::kSuspicion, body}, kTellTimeout);
-        if (!told) {
-          LogLine("suspicion_not_told").With(told.error()).Warning();
-        }
-      });
+    TellAll(PeerCallKind::kSuspicion, record.Encode());
+  }
+}
+
+void QuarantineShell::TellAll(PeerCallKind kind, const std::string& body) {
+  for (const Member& member : LiveMembers()) {
+    if (member.id == self_) {
+      continue;
     }
+    calls_.Run([this, kind, body, peer = member.peers] {
+      const auto told = client_.Call(peer, {kind, body}, kTellTimeout);
+      if (!told) {
+        LogLine("quarantine_not_told")
+            .With("kind", ToName(kind))
+            .With(told.error())
+            .Warning();
+      }
+    });
   }
 }
 
@@ -199,6 +205,13 @@
   return std::string();
 }
 
+Result<std::string> QuarantineShell::OnGrantedRunCall(const std::string& body) {
+  BOOST_OUTCOME_TRY(run, GrantedRun::Decode(body));
+  const std::lock_guard lock(mutex_);
+  quarantine_.OnGrantedElsewhere(run, MonotonicNow());
+  return std::string();
+}
+
 Result<std::string> QuarantineShell::OnSuspicionCall(const std::string& body) {
   BOOST_OUTCOME_TRY(record, SuspicionRecord::Decode(body));
   const std::lock_guard lock(mutex_);
--- a/modules/qh_node/serving/quarantine_shell.h
+++ b/modules/qh_node/serving/quarantine_shell.h
@@ -37,6 +37,10 @@
                          const ServerId& chosen,
                          const std::vector<ServerId>& configured);
 
+  // Whether another node runs a suspect on `server`: other content goes past
+  // it while it can.
+  bool SuspectElsewhere(const ServerId& server);
+
   void OnDispatched(const RequestSpec& spec, const ServerId& server);
   // `whole`: the server answered to the end.
   void OnEnded(const RequestSpec& spec, const ServerId& server, bool whole);
@@ -46,6 +50,7 @@
   // Answer a peer's calls. Fail with kPeerMalformed.
   Result<std::string> OnGrantCall(const std::string& body);
   Result<std::string> OnGrantEndCall(const std::string& body);
+  Result<std::string> OnGrantedRunCall(const std::string& body);
   Result<std::string> OnSuspicionCall(const std::string& body);
 
   // Becomes or stops to be the arbiter and forgets what is old. Several times a
@@ -60,6 +65,8 @@
   GrantAnswer Grant(const GrantAsk& ask);
   void EndGrant(const GrantEnd& end);
   void Tell(const std::vector<SuspicionRecord>& records);
+  // Sends `body` to all other live members.
+  void TellAll(PeerCallKind kind, const std::string& body);
 
   const InstanceId self_;
   PeerClient& client_;
--- a/modules/qh_node/serving/request_session.cpp
+++ b/modules/qh_node/serving/request_session.cpp
@@ -202,6 +202,7 @@
 
 Result<RouteChoice> RequestSession::PickServer() {
   query_.excluded = machine_.failed_servers();
+  ExcludeSuspectServers();
   const bool stream_under_way = machine_.tokens_sent() > 0;
   if (record_.adopted() || stream_under_way) {
     return parts_.dispatcher.Choose(query_);
@@ -218,6 +219,24 @@
   return parts_.dispatcher.Choose(query_);
 }
 
+void RequestSession::ExcludeSuspectServers() {
+  const ConfigurationPtr config = parts_.hooks.configuration();
+  const auto* servers = ConfiguredServers(*config);
+  if (!servers) {
+    return;
+  }
+  std::vector<ServerId> beside;
+  for (const BackendServer& server : *servers) {
+    if (parts_.quarantine.SuspectElsewhere(server.id)) {
+      beside.push_back(server.id);
+    }
+  }
+  // With a suspect everywhere, sharing is better than no answer.
+  if (query_.excluded.size() + beside.size() < servers->size()) {
+    query_.excluded.insert(query_.excluded.end(), beside.begin(), beside.end());
+  }
+}
+
 Result<BackendServer> RequestSession::AdmitToServer(const RouteChoice& choice) {
   const ConfigurationPtr config = parts_.hooks.configuration();
   const auto* servers = ConfiguredServers(*config);
--- a/modules/qh_node/serving/request_session.h
+++ b/modules/qh_node/serving/request_session.h
@@ -33,6 +33,8 @@
   void Choose();
   // Picks a server; the request is then in flight on it.
   Result<RouteChoice> PickServer();
+  // Goes past servers on which other nodes run suspects, while others are left.
+  void ExcludeSuspectServers();
   // Asks the quarantine; the server may change.
   Result<BackendServer> AdmitToServer(const RouteChoice& choice);
   const std::vector<BackendServer>* ConfiguredServers(
--- a/modules/qh_peer/peer_call.h
+++ b/modules/qh_peer/peer_call.h
@@ -27,6 +27,7 @@
   kGrant,
   // Tells the arbiter that a granted run ended.
   kGrantEnd,
+  kGrantedRun,
   // Tells that content may crash backend servers, or does not after all.
   kSuspicion,
   // Tells the demand of the teams on the sender.
@@ -46,6 +47,7 @@
     {PeerCallKind::kOutcome, "outcome"},
     {PeerCallKind::kGrant, "grant"},
     {PeerCallKind::kGrantEnd, "grant_end"},
+    {PeerCallKind::kGrantedRun, "granted_run"},
     {PeerCallKind::kSuspicion, "suspicion"},
     {PeerCallKind::kDemand, "demand"},
     {PeerCallKind::kHandover, "handover"},
--- a/modules/qh_requests/quarantine/crash_arbiter.cpp
+++ b/modules/qh_requests/quarantine/crash_arbiter.cpp
@@ -114,50 +114,64 @@
 CrashArbiter::CrashArbiter(CrashArbiterSettings settings, TimePoint start)
     : settings_(settings), start_(start) {}
 
+std::optional<TimePoint> CrashArbiter::DeathKnown(
+    const ServerId& server,
+    const CrashQuarantine& knowledge) const {
+  const auto death = knowledge.SuddenDeath(server);
+  const auto heard = heard_.find(server);
+  if (heard != heard_.end() && (!death || heard->second > *death)) {
+    return heard->second;
+  }
+  return death;
+}
+
 bool CrashArbiter::Settled(const GrantAsk& ask,
                            const CrashQuarantine& knowledge,
                            TimePoint now) const {
   if (now - start_ < settings_.takeover) {
     return false;
   }
-  auto death = knowledge.SuddenDeath(ask.first_choice);
-  const auto heard = heard_.find(ask.first_choice);
-  if (heard != heard_.end() && (!death || heard->second > *death)) {
-    death = heard->second;
+  const std::set<ServerId> crashes = knowledge.Crashes(ask.fingerprint);
+  for (const ServerId& server : crashes) {
+    const auto crash = DeathKnown(server, knowledge);
+    if (crash && now - *crash < settings_.settle) {
+      return false;
+    }
   }
+  const auto death = DeathKnown(ask.first_choice, knowledge);
   if (!death) {
     return true;
   }
-  const std::set<ServerId> crashes = knowledge.Crashes(ask.fingerprint);
   const bool only_elsewhere =
       !crashes.empty() && !crashes.contains(ask.first_choice);
   return now - *death >=
          (only_elsewhere ? settings_.suspect_settle : settings_.settle);
 }
 
-bool CrashArbiter::OtherSuspectOn(const ServerId& server,
-                                  const std::string& fingerprint,
-                                  const CrashQuarantine& knowledge) const {
+bool CrashArbiter::WouldShare(const ServerId& server,
+                              const std::string& fingerprint,
+                              const CrashQuarantine& knowledge) const {
+  const bool suspect = knowledge.IsSuspect(fingerprint);
   return std::any_of(grants_.begin(), grants_.end(), [&](const auto& item) {
     const Grant& grant = item.second;
     return grant.server == server && grant.fingerprint != fingerprint &&
-           knowledge.IsSuspect(grant.fingerprint);
+           (suspect || knowledge.IsSuspect(grant.fingerprint));
   });
 }
 
 void CrashArbiter::Learn(const GrantAsk& ask,
                          CrashQuarantine& knowledge,
                          TimePoint now) {
-  if (ask.crashed.empty()) {
-    return;
-  }
   for (const ServerId& server : ask.crashed) {
     heard_.emplace(server, now);
   }
-  knowledge.Merge({.fingerprint = ask.fingerprint,
-                   .round = ask.round,
-                   .crashed = ask.crashed},
-                  now);
+  // Content that was cleared names no server, but a later round.
+  if (!ask.crashed.empty() || ask.round > 0) {
+    knowledge.Merge({.fingerprint = ask.fingerprint,
+                     .round = ask.round,
+                     .crashed = ask.crashed},
+                    now);
+  }
 }
 
 GrantAnswer CrashArbiter::Ask(const GrantAsk& ask,
@@ -182,7 +196,8 @@
   }
   const bool suspect = knowledge.IsSuspect(ask.fingerprint);
   const bool first_choice_gone =
-      heard_.contains(ask.first_choice) || knowledge.IsGone(ask.first_choice);
+      heard_.contains(ask.first_choice) || knowledge.IsGone(ask.first_choice) ||
+      knowledge.Crashes(ask.fingerprint).contains(ask.first_choice);
   if (suspect && !first_choice_gone) {
     answer.server = ask.first_choice;
   }
@@ -197,8 +212,7 @@
     answer.server = running->second.server;
   } else if (knowledge.Crashes(ask.fingerprint).contains(answer.server) ||
              !Settled(ask, knowledge, now) ||
-             (suspect &&
-              OtherSuspectOn(answer.server, ask.fingerprint, knowledge))) {
+             WouldShare(answer.server, ask.fingerprint, knowledge)) {
     return answer;
   }
   answer.decision = GrantDecision::kRun;
--- a/modules/qh_requests/quarantine/crash_arbiter.h
+++ b/modules/qh_requests/quarantine/crash_arbiter.h
@@ -2,10 +2,10 @@
 // not placed on their first choice server.
 //
 // At most one server at a time runs granted copies of a fingerprint; a suspect
-// runs one copy at a time, on a server without another suspect. Copies that run
-// without a grant are on the first choice server; so a suspect is granted that
-// server as long as it lives, and goes past it only when all nodes had time to
-// send what they had in flight there when it died.
+// runs one copy at a time and shares no server with other granted content.
+// Copies that run without a grant are on the first choice server; so a suspect
+// is granted that server as long as it lives, and goes past it only when all
+// nodes had time to send what they had in flight there when it died.
 
 #ifndef QH_REQUESTS_QUARANTINE_CRASH_ARBITER_H_
 #define QH_REQUESTS_QUARANTINE_CRASH_ARBITER_H_
@@ -134,12 +134,21 @@
 
   CrashArbiter(CrashArbiterSettings settings, TimePoint start);
 
+  // When `server` died suddenly, or was first named as crashed, whichever is
+  // later.
+  std::optional<TimePoint> DeathKnown(const ServerId& server,
+                                      const CrashQuarantine& knowledge) const;
+  // Whether the members had time to tell what was in flight on the servers
+  // that `ask` may be blamed for: a suspect placed earlier may share its second
+  // server with content that is about to become a suspect too.
   bool Settled(const GrantAsk& ask,
                const CrashQuarantine& knowledge,
                TimePoint now) const;
-  bool OtherSuspectOn(const ServerId& server,
-                      const std::string& fingerprint,
-                      const CrashQuarantine& knowledge) const;
+  // Whether a suspect would share `server` with granted content of another
+  // fingerprint.
+  bool WouldShare(const ServerId& server,
+                  const std::string& fingerprint,
+                  const CrashQuarantine& knowledge) const;
   void Learn(const GrantAsk& ask, CrashQuarantine& knowledge, TimePoint now);
 
   CrashArbiterSettings settings_;
--- a/modules/qh_requests/quarantine/crash_quarantine.cpp
+++ b/modules/qh_requests/quarantine/crash_quarantine.cpp
@@ -32,6 +32,22 @@
   return record;
 }
 
+std::string GrantedRun::Encode() const {
+  return FieldMap()
+      .Set("request", request.value())
+      .Set("print", fingerprint)
+      .Set("server", server.value())
+      .Encode();
+}
+
+Result<GrantedRun> GrantedRun::Decode(std::string_view bytes) {
+  BOOST_OUTCOME_TRY(fields, FieldMap::Decode(bytes));
+  BOOST_OUTCOME_TRY(request, fields.RequiredText("request"));
+  BOOST_OUTCOME_TRY(fingerprint, fields.RequiredText("print"));
+  BOOST_OUTCOME_TRY(server, fields.RequiredText("server"));
+  return GrantedRun{RequestId(request), fingerprint, ServerId(server)};
+}
+
 ServerId FirstChoiceServer(std::string_view fingerprint,
                            const std::vector<ServerId>& servers) {
   assert(!servers.empty());
@@ -115,18 +131,48 @@
       fingerprints.insert(run.fingerprint);
     }
   }
+  for (auto it = elsewhere_.begin(); it != elsewhere_.end();) {
+    if (it->second.server != server) {
+      ++it;
+      continue;
+    }
+    if (now < it->second.until) {
+      fingerprints.insert(it->second.fingerprint);
+    }
+    it = elsewhere_.erase(it);
+  }
   return fingerprints;
 }
 
-void CrashQuarantine::ExplainDeaths(const std::string& fingerprint,
-                                    TimePoint now) {
+void CrashQuarantine::OnGrantedElsewhere(const GrantedRun& run, TimePoint now) {
+  elsewhere_[run.request] = {.fingerprint = run.fingerprint,
+                             .server = run.server,
+                             .until = now + settings_.granted_run_kept};
+}
+
+bool CrashQuarantine::SuspectElsewhere(const ServerId& server,
+                                       TimePoint now) const {
+  return std::any_of(
+      elsewhere_.begin(), elsewhere_.end(), [&](const auto& item) {
+        return item.second.server == server && now < item.second.until;
+      });
+}
+
+void CrashQuarantine::OnEndedElsewhere(const RequestId& request) {
+  elsewhere_.erase(request);
+}
+
+std::vector<SuspicionRecord> CrashQuarantine::ExplainDeaths(
+    const std::string& fingerprint,
+    TimePoint now) {
   const std::set<ServerId> explained = Crashes(fingerprint);
   for (const auto& [other, suspicion] : suspicions_) {
     if (other != fingerprint &&
         suspicion.crashed.size() >= kMaxCrashesPerFingerprint) {
-      return;
+      return {};
     }
   }
+  std::vector<SuspicionRecord> cleared;
   for (auto& [other, suspicion] : suspicions_) {
     const auto before = suspicion.crashed.size();
     if (other == fingerprint) {
@@ -138,8 +184,10 @@
     if (suspicion.crashed.size() != before) {
       ++suspicion.round;
       suspicion.changed = now;
+      cleared.push_back(RecordOf(other));
     }
   }
+  return cleared;
 }
 
 void CrashQuarantine::OnSurvived(const std::string& fingerprint,
@@ -175,7 +223,8 @@
     changed.push_back(RecordOf(fingerprint));
   }
   if (affected.size() == 1 && IsCondemned(*affected.begin())) {
-    ExplainDeaths(*affected.begin(), now);
+    const auto cleared = ExplainDeaths(*affected.begin(), now);
+    changed.insert(changed.end(), cleared.begin(), cleared.end());
   }
   return changed;
 }
@@ -278,6 +327,8 @@
   while (!deaths_.empty() && now - deaths_.front().when > settings_.retention) {
     deaths_.pop_front();
   }
+  std::erase_if(elsewhere_,
+                [&](const auto& item) { return now >= item.second.until; });
   std::erase_if(pardoned_until_,
                 [&](const auto& item) { return now >= item.second; });
 }
--- a/modules/qh_requests/quarantine/crash_quarantine.h
+++ b/modules/qh_requests/quarantine/crash_quarantine.h
@@ -68,6 +68,18 @@
   static Result<SuspicionRecord> Decode(std::string_view bytes);
 };
 
+// A suspect's run that another node was granted, told to all members before it
+// begins: if that node dies with its server, the others still know what ran.
+struct GrantedRun {
+  RequestId request;
+  std::string fingerprint;
+  ServerId server;
+
+  std::string Encode() const;
+  // Fails with kPeerMalformed.
+  static Result<GrantedRun> Decode(std::string_view bytes);
+};
+
 struct CrashQuarantineSettings {
   // How long a suspicion is kept after its last change.
   Duration retention = std::chrono::hours(1);
@@ -78,6 +90,8 @@
   // How long after its cancel a run may still crash its server.
   Duration cancel_linger = std::chrono::seconds(1);
   Duration max_tick_gap = std::chrono::milliseconds(500);
+  // How long a granted run of another node counts when its end is not told.
+  Duration granted_run_kept = std::chrono::seconds(10);
   // Time after a pause until missed gossip has come.
   Duration catch_up = std::chrono::milliseconds(1000);
   // How long other nodes may take to see a wave too.
@@ -113,6 +127,12 @@
   void OnCancelled(const std::string& fingerprint,
                    const ServerId& server,
                    TimePoint now);
+  // Another node begins a granted run, or ended it.
+  void OnGrantedElsewhere(const GrantedRun& run, TimePoint now);
+  void OnEndedElsewhere(const RequestId& request);
+  // Whether another node runs a suspect on `server`. Other content goes past
+  // it while it can, so that a crash there blames nobody else.
+  bool SuspectElsewhere(const ServerId& server, TimePoint now) const;
   // A suspect ran to its end: the content is harmless.
   void OnSurvived(const std::string& fingerprint, TimePoint now);
 
@@ -166,6 +186,12 @@
     TimePoint until;
   };
 
+  struct Elsewhere {
+    std::string fingerprint;
+    ServerId server;
+    TimePoint until;
+  };
+
   explicit CrashQuarantine(CrashQuarantineSettings settings);
 
   // Takes the servers of a wave out of the suspicions.
@@ -174,8 +200,9 @@
   std::set<std::string> TakeRuns(const ServerId& server, TimePoint now);
   // A fingerprint that was alone on the server that condemned it explains the
   // deaths of its servers: takes them out of all other suspicions, unless
-  // another one is condemned too.
-  void ExplainDeaths(const std::string& fingerprint, TimePoint now);
+  // another one is condemned too. Returns the records that changed.
+  std::vector<SuspicionRecord> ExplainDeaths(const std::string& fingerprint,
+                                             TimePoint now);
   bool IsPardoned(const ServerId& server, TimePoint now) const;
   // Takes a wave's server out of `crashed` if it is the only one of the wave.
   void Pardon(std::set<ServerId>& crashed, TimePoint now) const;
@@ -185,6 +212,8 @@
   // Runs of this node, per server and fingerprint.
   std::map<ServerId, std::map<std::string, uint32_t>> in_flight_;
   std::deque<Cancelled> cancelled_;
+  // Granted runs of other nodes.
+  std::map<RequestId, Elsewhere> elsewhere_;
   std::deque<Death> deaths_;
   TimePoint last_tick_{};
   TimePoint trusted_from_{};
--- a/tests/fakes/outcome_world.h
+++ b/tests/fakes/outcome_world.h
@@ -205,7 +205,10 @@
                const std::string& id,
                uint64_t ask,
                const GrantAnswer& answer);
+  // Tells all members of a suspect's run before it begins.
+  void TellGranted(size_t node, const std::string& id, const ServerId& server);
   void DropGrant(size_t node, const std::string& id, bool cancelled);
+  void OnGrantEnd(size_t node, const GrantEnd& end, TimePoint now);
   void Dispatch(size_t node,
                 const std::string& id,
                 const RequestAction& action);
--- a/tests/fakes/outcome_world_servers.cpp
+++ b/tests/fakes/outcome_world_servers.cpp
@@ -46,6 +46,12 @@
         {.kind = RequestEventKind::kNoServer, .error = ErrorKind::kNoServer});
   }
   const ServerId first = FirstChoiceServer(spec.fingerprint, configured);
+  const auto beside_suspect = [&](const ServerId& server) {
+    return self.quarantine.SuspectElsewhere(server, queue_.now());
+  };
+  if (!std::all_of(usable.begin(), usable.end(), beside_suspect)) {
+    std::erase_if(usable, beside_suspect);
+  }
   const bool first_usable =
       std::find(usable.begin(), usable.end(), first) != usable.end();
   const bool take_first = first_usable && !rng_.Chance(kSpilled);
@@ -137,6 +143,7 @@
   }
   switch (answer.decision) {
     case GrantDecision::kRun:
+      TellGranted(node, id, answer.server);
       return Feed(
           node, id,
           {.kind = RequestEventKind::kServerChosen, .server = answer.server});
@@ -150,14 +157,28 @@
   }
 }
 
+void OutcomeWorld::TellGranted(size_t node,
+                               const std::string& id,
+                               const ServerId& server) {
+  const std::string& fingerprint = attempts_.at(id).fingerprint;
+  if (!nodes_[node].quarantine.IsSuspect(fingerprint)) {
+    return;
+  }
+  const GrantedRun run = {RequestId(id), fingerprint, server};
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    if (i == node) {
+      continue;
+    }
+    Message(i, [this, i, bytes = run.Encode()](TimePoint now) {
+      nodes_[i].quarantine.OnGrantedElsewhere(GrantedRun::Decode(bytes).value(),
+                                              now);
+    });
+  }
+}
+
 void OutcomeWorld::DropGrant(size_t node,
                              const std::string& id,
                              bool cancelled) {
-  const InstanceId arbiter = ArbiterOf(MembersOf(node));
-  if (arbiter.empty()) {
-    return;
-  }
-  const size_t index = IndexOf(arbiter);
   const GrantEnd end = {
       .request = RequestId(id),
       .number = nodes_[node].sessions.at(id).grant_asks,
@@ -165,17 +186,23 @@
   // A cancelled run may still crash its server.
   const Duration linger = cancelled ? Duration(seconds(1)) : Duration(0);
   for (const Duration delay : {linger, linger + milliseconds(200)}) {
-    ToNode(node, delay, [this, index, bytes = end.Encode()](TimePoint) {
-      Message(index, [this, index, bytes](TimePoint now) {
-        if (nodes_[index].arbiter) {
-          nodes_[index].arbiter->OnEnded(GrantEnd::Decode(bytes).value(),
-                                         nodes_[index].quarantine, now);
-        }
-      });
+    ToNode(node, delay, [this, bytes = end.Encode()](TimePoint) {
+      for (size_t i = 0; i < nodes_.size(); ++i) {
+        Message(i, [this, i, bytes](TimePoint now) {
+          OnGrantEnd(i, GrantEnd::Decode(bytes).value(), now);
+        });
+      }
     });
   }
 }
 
+void OutcomeWorld::OnGrantEnd(size_t node, const GrantEnd& end, TimePoint now) {
+  nodes_[node].quarantine.OnEndedElsewhere(end.request);
+  if (nodes_[node].arbiter) {
+    nodes_[node].arbiter->OnEnded(end, nodes_[node].quarantine, now);
+  }
+}
+
 void OutcomeWorld::Dispatch(size_t node,
                             const std::string& id,
                             const RequestAction& action) {
--- a/tests/qh_requests/crash_quarantine_test.cpp
+++ b/tests/qh_requests/crash_quarantine_test.cpp
@@ -124,6 +124,53 @@
             .decision == GrantDecision::kRun);
 }
 
+TEST_CASE("a server that dies with the node that ran a suspect counts") {
+  auto other = CrashQuarantine::Create({});
+  other.Merge({"print", 0, {kFirst}}, kNow);
+  const GrantedRun run = {RequestId("r"), "print", kSecond};
+  SECTION("while the run is not known to have ended") {
+    other.OnGrantedElsewhere(run, kNow);
+    CHECK(other.SuspectElsewhere(kSecond, kNow));
+    other.OnServerDied(kSecond, kZoneA, ServerDeath::kSudden, kNow);
+    CHECK(other.IsCondemned("print"));
+  }
+  SECTION("not after its end") {
+    other.OnGrantedElsewhere(run, kNow);
+    other.OnEndedElsewhere(RequestId("r"));
+    CHECK_FALSE(other.SuspectElsewhere(kSecond, kNow));
+    other.OnServerDied(kSecond, kZoneA, ServerDeath::kSudden, kNow);
+    CHECK_FALSE(other.IsCondemned("print"));
+  }
+  SECTION("not when its end was never told") {
+    other.OnGrantedElsewhere(run, kNow);
+    other.OnServerDied(kSecond, kZoneA, ServerDeath::kSudden,
+                       kNow + seconds(11));
+    CHECK_FALSE(other.IsCondemned("print"));
+  }
+}
+
+TEST_CASE("a suspect shares no server with other granted content") {
+  auto quarantine = CrashQuarantine::Create({});
+  auto arbiter = OldArbiter();
+  const TimePoint now = kNow + seconds(60);
+  quarantine.Merge({"suspect", 0, {kFirst}}, kNow);
+  REQUIRE(
+      arbiter.Ask(AskFor("other", "r1", kSecond), quarantine, now).decision ==
+      GrantDecision::kRun);
+  GrantAsk ask = AskFor("suspect", "r2", kSecond);
+  ask.crashed = {kFirst};
+  // What was in flight elsewhere when the server died has been told by then.
+  const TimePoint later = now + seconds(20);
+  CHECK(arbiter.Ask(ask, quarantine, now).decision == GrantDecision::kWait);
+  ask.number = 2;
+  CHECK(arbiter.Ask(ask, quarantine, later).decision == GrantDecision::kWait);
+  ask.number = 3;
+  ask.server = kThird;
+  CHECK(arbiter.Ask(ask, quarantine, later).decision == GrantDecision::kRun);
+  GrantAsk third = AskFor("third", "r3", kThird);
+  CHECK(arbiter.Ask(third, quarantine, later).decision == GrantDecision::kWait);
+}
+
 TEST_CASE("messages of the quarantine survive encoding; garbage is an error") {
   GrantAsk ask = AskFor("p", "r", kSecond);
   ask.number = 7;
@@ -135,6 +182,9 @@
   CHECK(read.crashed == ask.crashed);
   const GrantEnd end = {RequestId("r"), 7, {"p", 1, {kFirst}}};
   CHECK(GrantEnd::Decode(end.Encode()).value().record.crashed.size() == 1);
+  const GrantedRun run = {RequestId("r"), "p", kFirst};
+  CHECK(GrantedRun::Decode(run.Encode()).value().server == kFirst);
+  CHECK_FALSE(GrantedRun::Decode("").has_value());
   CHECK_FALSE(GrantAsk::Decode("\xff").has_value());
   CHECK_FALSE(GrantAnswer::Decode("").has_value());
 }
--- a/tests/qh_requests/outcome_search_test.cpp
+++ b/tests/qh_requests/outcome_search_test.cpp
@@ -40,9 +40,11 @@
 
 TEST_CASE("an innocent stream beside two crashes is answered") {
   const auto [seed, index] = GENERATE(table<uint64_t, uint64_t>({
-      {7, 392},
-      {10, 984},
-      {10, 1035},
+      {7, 392},    // a suspect placed before its co-suspect was known
+      {10, 984},   // other content granted beside a suspect
+      {10, 1035},  // the same
+      {8, 601},    // other content sent by its first choice beside a suspect
+      {11, 485},  // content cleared on one node stayed a suspect on the arbiter
   }));
   OutcomeWorld world(OutcomeSessionSeed(seed, index), OutcomeGuard::kNone);
   CHECK(world.Run().cut_streams == 0);
@@ -53,6 +55,24 @@
   CHECK(world.Run().servers_lost_per_poison_max <= kMaxCrashesPerFingerprint);
 }
 
+TEST_CASE("a stream that two unrelated crashes point at is answered") {
+  const auto [seed, index] = GENERATE(table<uint64_t, uint64_t>({
+      {4,
+       492},  // alone on a dead server, then beside content not suspected yet
+      {9, 1427},  // beside content that crashed, then alone on a dead server
+      {12, 21},   // the same
+  }));
+  OutcomeWorld world(OutcomeSessionSeed(seed, index), OutcomeGuard::kNone);
+  const OutcomeTotals totals = world.Run();
+  CHECK(totals.cut_streams == 0);
+  CHECK(totals.servers_lost_per_poison_max <= kMaxCrashesPerFingerprint);
+}
+
+TEST_CASE("a node that wakes just before it is taken hands its stream on") {
+  OutcomeWorld world(OutcomeSessionSeed(10, 270), OutcomeGuard::kNone);
+  CHECK(world.Run().lost_accepted == 0);
+}
+
 TEST_CASE("the search finds the fault when a guard is off") {
   constexpr uint64_t kSessions = 2000;
   SECTION("claim") {
