Team limits: what a limit grants in a window, paced, with room for large requests

Ruled out: overload (no 503 in the log), a stale configuration (version 9 in force at 1.7 s on all nodes), peers taken for silent. Change: each node keeps the deployment's use in the last window, bound by what the limit grants there; a bucket that refills by a window's grant in a window paces a team at its limit; a request may pass the open room by a quarter of the users' allowance, so large ones run as soon as small ones do.

--- a/modules/qh_gateway/decisions/team_budget.cpp
+++ b/modules/qh_gateway/decisions/team_budget.cpp
@@ -9,91 +9,142 @@
 // Peers forgotten when there are more; only dead processes' entries pile up.
 constexpr size_t kMaxPeersSeen = 2'000;
 
+// What is refused for less than this is free again by the answer's arrival.
+constexpr Duration kShortestWait = std::chrono::milliseconds(10);
+
 }  // namespace
 
 TeamBudget::TeamBudget(const Allowance& allowance, TimePoint now)
     : allowance_(allowance), started_(now) {}
 
-double TeamBudget::SlackOf(const Bucket& bucket) const {
-  const double granted =
-      bucket.rate * ToSeconds(allowance_.window) + bucket.burst;
-  return kSlackPart * (allowance_.share * granted + allowance_.units);
+double TeamBudget::GrantOf(const Account& account) const {
+  return account.rate * ToSeconds(allowance_.window) + account.burst;
+}
+
+double TeamBudget::AllowanceOf(const Account& account) const {
+  return allowance_.share * GrantOf(account) + allowance_.units;
+}
+
+double TeamBudget::DepthOf(const Account& account) const {
+  return account.burst + kOpenPart * AllowanceOf(account);
+}
+
+double TeamBudget::SilentShare() const {
+  return static_cast<double>(std::min(silent_, peers_)) /
+         static_cast<double>(peers_ + 1);
 }
 
 void TeamBudget::SetTeams(const std::vector<TeamRule>& teams, TimePoint now) {
-  std::map<TeamId, Bucket> next;
+  const bool fresh = now - started_ < allowance_.window;
+  std::map<TeamId, Account> next;
   for (const TeamRule& team : teams) {
     if (team.rate <= 0) {
       continue;
     }
-    Bucket bucket{.rate = team.rate,
-                  .burst = std::max(team.burst, team.rate / 10),
-                  .filled = now};
-    const auto known = buckets_.find(team.id);
-    if (known == buckets_.end()) {
-      bucket.level = kStartShare * bucket.burst;
-    } else {
+    Account account{.rate = team.rate,
+                    .burst = std::max(team.burst, team.rate / 10),
+                    .used = WindowSum(allowance_.window),
+                    .filled = now};
+    const auto known = accounts_.find(team.id);
+    if (known != accounts_.end()) {
       Fill(known->second, now);
-      bucket.level = std::min(known->second.level, bucket.burst);
-      bucket.untold = known->second.untold;
+      account.used = known->second.used;
+      account.level = std::min(known->second.level, DepthOf(account));
+      account.untold = known->second.untold;
+    } else if (fresh) {
+      account.level = kStartShare * account.burst;
+      account.used.Spread(GrantOf(account) - account.level, now);
+    } else {
+      account.level = DepthOf(account);
     }
-    next[team.id] = bucket;
+    next.emplace(team.id, account);
   }
-  buckets_ = std::move(next);
+  accounts_ = std::move(next);
 }
 
-void TeamBudget::Fill(Bucket& bucket, TimePoint now) const {
-  const double seconds = ToSeconds(now - bucket.filled);
-  bucket.filled = now;
-  // Silent peers may use their even share of the rate unseen.
-  const double seen =
-      1.0 - static_cast<double>(silent_) / static_cast<double>(peers_ + 1);
-  bucket.level =
-      std::min(bucket.burst, bucket.level + bucket.rate * seen * seconds);
+void TeamBudget::Fill(Account& account, TimePoint now) const {
+  const double seconds = ToSeconds(now - account.filled);
+  account.filled = now;
+  const double granted =
+      GrantOf(account) / ToSeconds(allowance_.window) * seconds;
+  const double unseen = granted * SilentShare();
+  account.level = std::min(DepthOf(account), account.level + granted - unseen);
+  account.used.Add(unseen, now);
+}
+
+void TeamBudget::Use(Account& account, double units, TimePoint now) const {
+  account.used.Add(units, now);
+  account.level = std::min(DepthOf(account), account.level - units);
 }
 
-double TeamBudget::FreeIn(Bucket& bucket, TimePoint now) const {
-  Fill(bucket, now);
+double TeamBudget::FreeIn(Account& account, TimePoint now) const {
+  Fill(account, now);
   const double speaking =
       static_cast<double>(peers_ - std::min(silent_, peers_));
-  return bucket.level + SlackOf(bucket) -
-         kPeerMirror * speaking * bucket.untold;
+  const double in_window = GrantOf(account) + kOpenPart * AllowanceOf(account) -
+                           account.used.Sum(now);
+  return std::min(in_window, account.level) -
+         kPeerMirror * speaking * account.untold;
 }
 
 double TeamBudget::Free(const TeamId& team, TimePoint now) {
-  const auto found = buckets_.find(team);
-  return found == buckets_.end() ? std::numeric_limits<double>::infinity()
-                                 : FreeIn(found->second, now);
+  const auto found = accounts_.find(team);
+  return found == accounts_.end() ? std::numeric_limits<double>::infinity()
+                                  : FreeIn(found->second, now);
 }
 
 std::optional<Duration> TeamBudget::Admit(const TeamId& team,
                                           double units,
                                           TimePoint now) {
-  const auto found = buckets_.find(team);
-  if (found == buckets_.end()) {
+  const auto found = accounts_.find(team);
+  if (found == accounts_.end()) {
     totals_[team] += units;
     return std::nullopt;
   }
-  Bucket& bucket = found->second;
-  const double free = FreeIn(bucket, now);
-  // A request larger than the bucket runs when the bucket is full.
-  const double needed = std::min(units, 0.9 * bucket.burst);
-  if (free < needed) {
-    return FromSeconds((needed - free) / bucket.rate);
+  Account& account = found->second;
+  const double free = FreeIn(account, now);
+  // A request larger than the bucket runs when that is nearly full.
+  const double larger = std::min(units, 0.9 * DepthOf(account));
+  const double needed =
+      std::max(larger - kSlackPart * AllowanceOf(account), 0.0);
+  if (free < needed || free <= 0) {
+    return WaitFor(account, needed - free, now);
   }
-  bucket.level -= units;
-  bucket.untold += units;
+  Use(account, units, now);
+  account.untold += units;
   totals_[team] += units;
   return std::nullopt;
 }
 
-void TeamBudget::Refund(const TeamId& team, double units) {
+Duration TeamBudget::WaitFor(Account& account,
+                             double missing,
+                             TimePoint now) const {
+  const double window = ToSeconds(allowance_.window);
+  const Duration refilled = FromSeconds(missing * window / GrantOf(account));
+  const double used = account.used.Sum(now);
+  const double room =
+      GrantOf(account) + kOpenPart * AllowanceOf(account) - used;
+  // Only when the window is what lacks room.
+  const Duration left = room < account.level
+                            ? account.used.UntilBelow(used - missing, now)
+                            : Duration::zero();
+  return std::max({refilled, left, kShortestWait});
+}
+
+void TeamBudget::Refund(const TeamId& team,
+                        double units,
+                        TimePoint admitted,
+                        TimePoint now) {
+  // After a window it counts no more.
+  if (now - admitted >= allowance_.window) {
+    return;
+  }
   totals_[team] -= units;
-  const auto found = buckets_.find(team);
-  if (found != buckets_.end()) {
-    Bucket& bucket = found->second;
-    bucket.level = std::min(bucket.burst, bucket.level + units);
-    bucket.untold = std::max(0.0, bucket.untold - units);
+  const auto found = accounts_.find(team);
+  if (found != accounts_.end()) {
+    Account& account = found->second;
+    Use(account, -units, now);
+    account.untold = std::max(0.0, account.untold - units);
   }
 }
 
@@ -110,29 +161,33 @@
   const TeamTotals before = known != peers_seen_.end() ? known->second
                             : older                    ? totals
                                                        : TeamTotals();
-  for (auto& [team, bucket] : buckets_) {
-    Fill(bucket, now);
+  for (auto& [team, account] : accounts_) {
     const auto used = totals.find(team);
     const auto told = before.find(team);
     const double total = used == totals.end() ? 0 : used->second;
     const double last = told == before.end() ? 0 : told->second;
-    bucket.level = std::min(bucket.burst, bucket.level - (total - last));
-    bucket.untold -= peers_ == 0 ? bucket.untold
-                                 : bucket.untold / static_cast<double>(peers_);
+    Fill(account, now);
+    Use(account, total - last, now);
+    account.untold -= peers_ == 0
+                          ? account.untold
+                          : account.untold / static_cast<double>(peers_);
   }
   peers_seen_[incarnation] = totals;
 }
 
 void TeamBudget::SetPeers(size_t peers, size_t silent, TimePoint now) {
-  for (auto& [team, bucket] : buckets_) {
-    Fill(bucket, now);
+  for (auto& [team, account] : accounts_) {
+    Fill(account, now);
+    if (silent <= silent_) {
+      continue;
+    }
     // A node that has just lost its peers may use its even share of what is
     // left, as each of them may.
-    if (silent > silent_ && bucket.level > 0) {
-      const double share = static_cast<double>(peers + 1 - silent) /
-                           static_cast<double>(peers + 1);
-      bucket.level *= share;
-    }
+    const double lost =
+        static_cast<double>(silent) / static_cast<double>(peers + 1);
+    const double room = GrantOf(account) - account.used.Sum(now);
+    account.used.Add(std::max(room, 0.0) * lost, now);
+    account.level -= std::max(account.level, 0.0) * lost;
   }
   peers_ = peers;
   silent_ = silent;
--- a/modules/qh_gateway/decisions/team_budget.h
+++ b/modules/qh_gateway/decisions/team_budget.h
@@ -1,7 +1,12 @@
-// Team limits that hold over all nodes without a central counter. Every node
-// keeps the whole deployment's token bucket of each team: it takes off what it
-// admits at once, and what its peers admitted when they tell so. Peers that are
-// silent are taken to use their even share.
+// Team limits that hold over all nodes without a central counter. A limit
+// grants rate x window + burst units in any window. Every node keeps the whole
+// deployment's use of each team in the last window: it adds what it admits at
+// once, and what its peers admitted when they tell so. Peers that are silent
+// are taken to use their even share.
+//
+// A bucket that refills by a window's grant in a window paces a team at its
+// limit: without it a flood would use the grant up at once and leave the team
+// nothing for the rest of the window.
 
 #ifndef QH_GATEWAY_DECISIONS_TEAM_BUDGET_H_
 #define QH_GATEWAY_DECISIONS_TEAM_BUDGET_H_
@@ -13,6 +18,7 @@
 
 #include "qh_core/ids/ids.h"
 #include "qh_core/time/time.h"
+#include "qh_gateway/decisions/window_sum.h"
 #include "qh_gateway/model/service_config.h"
 
 namespace qh {
@@ -31,13 +37,13 @@
     double units = 0;
   };
 
-  // Part of the allowance that a node may take a team below zero: the nodes'
-  // views differ by what each has not yet told, and without it that difference
-  // would be refused to teams below their limits. The rest covers what is
-  // admitted meanwhile elsewhere.
-  static constexpr double kSlackPart = 0.4;
+  // Part of the allowance that every request may use, and part by which one
+  // request may pass that: a large request runs as soon as a small one does.
+  // The rest covers what is admitted meanwhile elsewhere.
+  static constexpr double kOpenPart = 0.25;
+  static constexpr double kSlackPart = 0.25;
   // Share of the burst that a fresh process may use at once; what was used
-  // before its start is not known.
+  // before its start is not known and taken to be all that the limit grants.
   static constexpr double kStartShare = 0.3;
   // How much of its own use since a peer's last word a node takes that peer to
   // have used too.
@@ -48,15 +54,18 @@
   // Takes over the limits in force; a lowered one binds at once.
   void SetTeams(const std::vector<TeamRule>& teams, TimePoint now);
 
-  // Takes `units` out of the team's bucket. Returns nothing when the request
+  // Counts `units` against the team's limit. Returns nothing when the request
   // may run, else the time until it could.
   std::optional<Duration> Admit(const TeamId& team,
                                 double units,
                                 TimePoint now);
   // Units that the team may use now, as far as this node knows.
   double Free(const TeamId& team, TimePoint now);
-  // Gives back what a request took that did not run.
-  void Refund(const TeamId& team, double units);
+  // Gives back what a request took at `admitted` that did not run.
+  void Refund(const TeamId& team,
+              double units,
+              TimePoint admitted,
+              TimePoint now);
 
   // Takes a peer's totals. `uptime` is how long that process has run.
   void OnPeer(const std::string& incarnation,
@@ -69,24 +78,35 @@
   const TeamTotals& totals() const { return totals_; }
 
  private:
-  struct Bucket {
+  struct Account {
     double rate = 0;
     double burst = 0;
-    // Units of the whole deployment that may be used now; may be negative.
+    // Use of the whole deployment.
+    WindowSum used;
+    // What the bucket holds, at most Depth; below zero after a large request.
     double level = 0;
+    // Until when the bucket is filled, and the silent peers' share counted.
     TimePoint filled;
     // Own use since the peers last told theirs.
     double untold = 0;
   };
 
-  void Fill(Bucket& bucket, TimePoint now) const;
-  double SlackOf(const Bucket& bucket) const;
-  double FreeIn(Bucket& bucket, TimePoint now) const;
+  // What the limit grants in a window.
+  double GrantOf(const Account& account) const;
+  // How far all nodes together may pass that.
+  double AllowanceOf(const Account& account) const;
+  double DepthOf(const Account& account) const;
+  double SilentShare() const;
+  void Fill(Account& account, TimePoint now) const;
+  void Use(Account& account, double units, TimePoint now) const;
+  double FreeIn(Account& account, TimePoint now) const;
+  // When `missing` units more will be free, if nothing else is admitted.
+  Duration WaitFor(Account& account, double missing, TimePoint now) const;
 
   Allowance allowance_;
 
   TimePoint started_;
-  std::map<TeamId, Bucket> buckets_;
+  std::map<TeamId, Account> accounts_;
   TeamTotals totals_;
   // Last totals of each peer process.
   std::map<std::string, TeamTotals> peers_seen_;
--- /dev/null
+++ b/modules/qh_gateway/decisions/window_sum.cpp
@@ -0,0 +1,65 @@
+#include "qh_gateway/decisions/window_sum.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace qh {
+
+WindowSum::WindowSum(Duration window)
+    : slot_length_(
+          std::max(window / static_cast<int64_t>(kSlots), Duration(1))) {
+  assert(window > Duration::zero());
+}
+
+void WindowSum::Advance(TimePoint now) {
+  const int64_t current = now.time_since_epoch() / slot_length_;
+  if (current <= newest_) {
+    return;
+  }
+  const auto size = static_cast<int64_t>(slots_.size());
+  const int64_t passed = std::min(current - newest_, size);
+  for (int64_t i = 0; i < passed; ++i) {
+    double& slot = slots_[(current - i) % size];
+    sum_ -= slot;
+    slot = 0;
+  }
+  newest_ = current;
+}
+
+void WindowSum::Add(double units, TimePoint now) {
+  Advance(now);
+  slots_[newest_ % static_cast<int64_t>(slots_.size())] += units;
+  sum_ += units;
+}
+
+void WindowSum::Spread(double units, TimePoint now) {
+  Advance(now);
+  const double each = units / static_cast<double>(kSlots);
+  const auto size = static_cast<int64_t>(slots_.size());
+  for (int64_t i = 1; i < size; ++i) {
+    slots_[(newest_ + i) % size] += each;
+  }
+  sum_ += units;
+}
+
+double WindowSum::Sum(TimePoint now) {
+  Advance(now);
+  return sum_;
+}
+
+Duration WindowSum::UntilBelow(double target, TimePoint now) {
+  Advance(now);
+  const auto size = static_cast<int64_t>(slots_.size());
+  double left = sum_;
+  int64_t slots = 0;
+  while (left > target && slots < size) {
+    ++slots;
+    left -= slots_[(newest_ + slots) % size];
+  }
+  if (slots == 0) {
+    return Duration::zero();
+  }
+  return TimePoint(slot_length_ * (newest_ + slots)) - now;
+}
+
+}  // namespace qh
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -82,7 +82,7 @@
   }
   --state_.open_requests;
   if (!may_have_run_ && team_ != nullptr && units_ > 0) {
-    state_.team_budget.Refund(team_->id, units_);
+    state_.team_budget.Refund(team_->id, units_, received_, MonotonicNow());
   }
   deadline_timer_.cancel();
   watchdog_.cancel();
