Settings that are not UTF-8 are refused; gone nodes' demand and bad peer news

Now the one place where each file's text comes in refuses it with file, line and column, for our configuration, node settings and gateway settings; the decoder is Boost.Locale's. The plan of what to run counted the prompts that gone nodes had last told; they are dropped when the node is gone. A message on the peers' address that cannot be read was dropped without a word: peer_news_rejected.

--- a/modules/qh_config/loading/document.cpp
+++ b/modules/qh_config/loading/document.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "qh_core/text/utf8.h"
+
 namespace qh {
 namespace {
 
@@ -127,6 +129,15 @@
 }
 
 void Document::Merge(const std::string& file, const std::string& text) {
+  // The JSON reader looks at strings only, not at comments.
+  if (const auto place = FindInvalidUtf8(text)) {
+    mistakes_.push_back({file, "",
+                         "not UTF-8: line " + std::to_string(place->line) +
+                             ", column " + std::to_string(place->column)});
+    faulty_texts_.push_back(text);
+    fault_paths_.emplace_back();
+    return;
+  }
   Builder builder(file, mistakes_);
   const bool whole = json::sax_parse(text, &builder, json::input_format_t::json,
                                      /*strict=*/true, /*ignore_comments=*/true);
--- a/modules/qh_core/qh_core.h
+++ b/modules/qh_core/qh_core.h
@@ -4,7 +4,7 @@
 //                  their answers, results, time, ids, hashes, random numbers,
 //                  enum names, state charts and log lines.
 //   Dependencies:  none
-//   Libraries:     Boost.Outcome, spdlog, xxHash, PCG
+//   Libraries:     Boost.Outcome, Boost.Locale (headers), spdlog, xxHash, PCG
 //
 // The order of the includes below is the dependency order inside the module.
 
@@ -19,6 +19,7 @@
 #include "qh_core/hash/hash.h"
 #include "qh_core/random/rng.h"
 #include "qh_core/text/enum_table.h"
+#include "qh_core/text/utf8.h"
 #include "qh_core/statechart/state_chart.h"
 #include "qh_core/log/log_line.h"
 // clang-format on
--- /dev/null
+++ b/modules/qh_core/text/utf8.cpp
@@ -0,0 +1,28 @@
+#include "qh_core/text/utf8.h"
+
+#include <boost/locale/utf.hpp>
+
+namespace qh {
+
+std::optional<TextPlace> FindInvalidUtf8(std::string_view text) {
+  namespace utf = boost::locale::utf;
+  TextPlace place;
+  const char* at = text.data();
+  const char* const end = at + text.size();
+  while (at != end) {
+    const char* const start = at;
+    const utf::code_point point = utf::utf_traits<char>::decode(at, end);
+    if (point == utf::illegal || point == utf::incomplete) {
+      return place;
+    }
+    if (point == '\n') {
+      ++place.line;
+      place.column = 1;
+    } else {
+      place.column += static_cast<size_t>(at - start);
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace qh
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -71,6 +71,12 @@
           const auto news = PeerNews::Decode({news_in_.data(), size});
           if (news) {
             OnNews(news.value());
+          } else {
+            state_.log.Write(LogLine(ToName(GatewayEvent::kPeerNewsRejected))
+                                 .With("from", news_from_.address().to_string())
+                                 .With("bytes", size)
+                                 .With(news.error()),
+                             GatewayEvent::kPeerNewsRejected);
           }
         }
         ReceiveNews();
@@ -102,6 +108,10 @@
     state_.crashes.OnBreak(mark, now);
   }
   peer_reading_[news.node] = news.reading;
+  // What a gone node's callers asked for comes to the others now.
+  std::erase_if(peer_reading_, [&](const auto& item) {
+    return !nodes_.IsKnown(item.first, now);
+  });
   std::map<std::string, double> sum;
   for (const auto& [node, reading] : peer_reading_) {
     for (const auto& [service, rate] : reading) {
--- a/modules/qh_gateway/control/gateway_settings.cpp
+++ b/modules/qh_gateway/control/gateway_settings.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "qh_core/text/utf8.h"
 #include "qh_net/socket_options.h"
 
 namespace qh {
@@ -85,6 +86,11 @@
 
 Result<GatewaySettings> GatewaySettings::Parse(const std::string& text,
                                                const std::string& name) {
+  if (const auto place = FindInvalidUtf8(text)) {
+    return Error(ErrorKind::kConfigInvalid,
+                 name + ": not UTF-8: line " + std::to_string(place->line) +
+                     ", column " + std::to_string(place->column));
+  }
   const Json json = Json::parse(text, nullptr, false, true);
   if (!json.is_object()) {
     return Error(ErrorKind::kConfigInvalid, name + ": no JSON object");
--- a/modules/qh_gateway/decisions/node_table.cpp
+++ b/modules/qh_gateway/decisions/node_table.cpp
@@ -86,6 +86,11 @@
       }));
 }
 
+bool NodeTable::IsKnown(const std::string& node, TimePoint now) const {
+  const auto found = nodes_.find(node);
+  return found != nodes_.end() && !IsGone(found->second, now);
+}
+
 std::vector<Address> NodeTable::Usable(const std::optional<Address>& self,
                                        TimePoint now) const {
   const size_t silent = Silent(now);
--- a/modules/qh_gateway/decisions/node_table.h
+++ b/modules/qh_gateway/decisions/node_table.h
@@ -54,6 +54,8 @@
   // Nodes other than this one that are not gone, and those of them not heard.
   size_t Known(TimePoint now) const;
   size_t Silent(TimePoint now) const;
+  // Whether `node` is one of those, heard or not.
+  bool IsKnown(const std::string& node, TimePoint now) const;
 
   // Returns the nodes that callers can use: the ready ones that are heard. When
   // at least half of the others have gone silent, this node is likelier cut off
--- a/tests/qh_config/config_loader_test.cpp
+++ b/tests/qh_config/config_loader_test.cpp
@@ -113,6 +113,10 @@
                 "digits, '.', '_' and '-'"});
   CHECK(MistakesOf("[]") ==
         Strings{"10.json: wrong type: the file must hold an object"});
+  CHECK(MistakesOf("{\n// caf\xe9\n}") ==
+        Strings{"10.json: not UTF-8: line 2, column 7"});
+  CHECK(MistakesOf("\xff\xfe{}") ==
+        Strings{"10.json: not UTF-8: line 1, column 1"});
   const Strings fault = MistakesOf("{\n\"limits\": {\"max_open_requests\": }}");
   REQUIRE(fault.size() == 1);
   CHECK(fault[0].starts_with(
--- a/tests/qh_gateway/control_test.cpp
+++ b/tests/qh_gateway/control_test.cpp
@@ -101,6 +101,16 @@
   }
 }
 
+TEST_CASE("a node that went silent is known until it is taken for gone") {
+  NodeTable nodes("self");
+  nodes.OnListed("a", {"10.0.0.2", 1}, kStart);
+  nodes.OnHeard("a", Ready(1), kStart);
+  CHECK(nodes.IsKnown("a", kStart + NodeTable::kSilentAfter * 2));
+  CHECK_FALSE(nodes.IsKnown(
+      "a", kStart + NodeTable::kGoneAfter + std::chrono::milliseconds(1)));
+  CHECK_FALSE(nodes.IsKnown("b", kStart));
+}
+
 TEST_CASE("a node asks a peer that knows more") {
   NodeTable nodes("self");
   nodes.OnListed("a", {"10.0.0.2", 1}, kStart);
