Log: 180 lines a second a node, failures before successes; failures tells the volume

Now all events share 180, and served requests are left out from 100 on. 'quetzalhall failures' tells the most lines that a node wrote in a second, what was left out, and how many requests have lines but no outcome.

--- a/apps/quetzalhall/log_trace.cpp
+++ b/apps/quetzalhall/log_trace.cpp
@@ -101,6 +101,53 @@
   }
 };
 
+// Requests that have lines but no outcome: their node was killed, or the line
+// was left out for the log's bound.
+class OpenEnds {
+ public:
+  void Add(const LogEvent& event) {
+    const std::string request = FieldOf(event, "request");
+    if (!request.empty()) {
+      bool& ended = ended_[request];
+      ended = ended || IsOutcome(event.event);
+    }
+  }
+  void Print(std::ostream& out) const {
+    const auto open =
+        std::count_if(ended_.begin(), ended_.end(),
+                      [](const auto& request) { return !request.second; });
+    out << open << " of " << ended_.size()
+        << " requests that have lines have no outcome\n";
+  }
+
+ private:
+  std::map<std::string, bool> ended_;
+};
+
+class LogVolume {
+ public:
+  void Add(const LogEvent& event) {
+    ++lines_[{event.node, event.time_ms / 1'000}];
+    if (event.event == "log_lines_dropped") {
+      dropped_ += std::strtoull(FieldOf(event, "lines").c_str(), nullptr, 10);
+    }
+  }
+  void Print(std::ostream& out) const {
+    const auto most = std::max_element(
+        lines_.begin(), lines_.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    if (most != lines_.end()) {
+      out << most->second << " lines in a second at most, on "
+          << most->first.first << "; " << dropped_ << " left out\n";
+    }
+  }
+
+ private:
+  // By node and second.
+  std::map<std::pair<std::string, int64_t>, uint64_t> lines_;
+  uint64_t dropped_ = 0;
+};
+
 void PrintOutcome(const LogEvent& event, std::ostream& out) {
   out << "outcome: " << event.event << ", status " << FieldOf(event, "status")
       << ", because: " << FieldOf(event, "reason") << "\n"
@@ -184,7 +231,11 @@
   std::map<std::string, uint64_t> reasons;
   uint64_t failed = 0;
   uint64_t explained = 0;
+  LogVolume volume;
+  OpenEnds open_ends;
   for (const LogEvent& event : ReadLogs(logs)) {
+    volume.Add(event);
+    open_ends.Add(event);
     if (event.event != "request_refused" && event.event != "request_failed") {
       continue;
     }
@@ -200,6 +251,8 @@
   }
   output.out << explained << " of " << failed
              << " refused or failed requests bear a reason\n";
+  open_ends.Print(output.out);
+  volume.Print(output.out);
   return ExitCode::kOk;
 }
 
--- a/apps/quetzalhall/log_trace.h
+++ b/apps/quetzalhall/log_trace.h
@@ -38,8 +38,9 @@
                       std::istream& logs,
                       const Output& output);
 
-// Prints how often requests were refused or failed, by reason, and how many of
-// them bear one.
+// Prints how often requests were refused or failed, by reason, how many of them
+// bear one, how many requests have no outcome, and the most lines that a node
+// wrote in a second.
 ExitCode SummariseFailures(std::istream& logs, const Output& output);
 
 }  // namespace qh::cli
--- a/modules/qh_gateway/control/event_log.cpp
+++ b/modules/qh_gateway/control/event_log.cpp
@@ -23,14 +23,23 @@
 
 }  // namespace
 
-void EventLog::Write(const LogLine& line, GatewayEvent event) {
+bool EventLog::MayWrite(GatewayEvent event) const {
+  const uint32_t lines =
+      event == GatewayEvent::kRequestServed ? kLinesWithServed : kLines;
+  return written_ < lines &&
+         counts_[static_cast<size_t>(event)].written < kLinesOfEvent;
+}
+
+bool EventLog::Write(const LogLine& line, GatewayEvent event) {
   Count& count = counts_[static_cast<size_t>(event)];
-  if (count.written >= kLinesPerSecond) {
+  if (!MayWrite(event)) {
     ++count.dropped;
-    return;
+    return false;
   }
   ++count.written;
+  ++written_;
   line.Write(LevelOf(event));
+  return true;
 }
 
 void EventLog::OnTick(TimePoint now) {
@@ -38,6 +47,7 @@
     return;
   }
   second_ = now;
+  written_ = 0;
   for (const auto& row : kEnumNames<GatewayEvent>) {
     Count& count = counts_[static_cast<size_t>(row.value)];
     if (count.dropped > 0) {
--- a/modules/qh_gateway/control/event_log.h
+++ b/modules/qh_gateway/control/event_log.h
@@ -80,10 +80,15 @@
 class EventLog {
  public:
   // Lines of one event a second.
-  static constexpr uint32_t kLinesPerSecond = 100;
+  static constexpr uint32_t kLinesOfEvent = 100;
+  // Lines of all events a second, and those after which served requests are
+  // only counted: failures and refusals go first.
+  static constexpr uint32_t kLines = 180;
+  static constexpr uint32_t kLinesWithServed = 100;
 
-  // Writes the line unless the event has had its lines of this second.
-  void Write(const LogLine& line, GatewayEvent event);
+  // Writes the line unless the second has had its lines; returns whether it
+  // did.
+  bool Write(const LogLine& line, GatewayEvent event);
   // Begins a second's count anew and logs what was left out.
   void OnTick(TimePoint now);
 
@@ -93,6 +98,10 @@
     uint32_t dropped = 0;
   };
 
+  bool MayWrite(GatewayEvent event) const;
+
+  // Lines of this second.
+  uint32_t written_ = 0;
   std::array<Count, std::size(kEnumNames<GatewayEvent>)> counts_{};
   TimePoint second_;
 };
--- a/tests/cli/log_trace_test.cpp
+++ b/tests/cli/log_trace_test.cpp
@@ -68,6 +68,21 @@
         std::string::npos);
   CHECK(out.str().find("2 of 2 refused or failed requests bear a reason") !=
         std::string::npos);
+  CHECK(out.str().find("0 of 2 requests that have lines have no outcome") !=
+        std::string::npos);
+  CHECK(out.str().find("3 lines in a second at most, on n1; 0 left out") !=
+        std::string::npos);
+}
+
+TEST_CASE_METHOD(Fixture, "a request without an outcome and lines left out") {
+  logs.str(
+      R"(time=2026-05-30T11:03:33.147 node=n1 event=attempt_failed request=r1
+time=2026-05-30T11:03:34.147 node=n1 event=log_lines_dropped of=request_served lines=17
+)");
+  CHECK(SummariseFailures(logs, output) == ExitCode::kOk);
+  CHECK(out.str().find("1 of 1 requests that have lines have no outcome") !=
+        std::string::npos);
+  CHECK(out.str().find("17 left out") != std::string::npos);
 }
 
 }  // namespace qh::cli
--- a/tests/qh_gateway/control_test.cpp
+++ b/tests/qh_gateway/control_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "qh_gateway/control/event_log.h"
 #include "qh_gateway/control/gateway_settings.h"
 #include "qh_gateway/control/peer_news.h"
 #include "qh_gateway/decisions/capacity_plan.h"
@@ -101,6 +102,24 @@
   }
 }
 
+TEST_CASE("a node logs so many lines a second, failures before successes") {
+  EventLog log;
+  const auto write = [&](GatewayEvent event, int lines) {
+    int written = 0;
+    for (int i = 0; i < lines; ++i) {
+      written += log.Write(LogLine(ToName(event)), event) ? 1 : 0;
+    }
+    return written;
+  };
+  CHECK(write(GatewayEvent::kRequestServed, 60) == 60);
+  CHECK(write(GatewayEvent::kRequestRefused, 500) == 100);
+  // The second has had its share of all that is not refused or failed.
+  CHECK(write(GatewayEvent::kRequestServed, 500) == 0);
+  CHECK(write(GatewayEvent::kRequestFailed, 500) == 20);
+  log.OnTick(kStart);
+  CHECK(write(GatewayEvent::kRequestServed, 500) == 100);
+}
+
 TEST_CASE("a node that went silent is known until it is taken for gone") {
   NodeTable nodes("self");
   nodes.OnListed("a", {"10.0.0.2", 1}, kStart);
