Capacity: own orders are not found, the next zone is covered while short; fewer store calls

What is found is now taken once, before the first orders. - two zones' reclaimable servers went at 5.6 s with none to be had (409), a third zone's at 11.6 s; others were ordered only then, and come after 4 s. After a refused order for reclaimable servers others now cover the loss of the fullest of the remaining zones too, for 6 s. - 6,247 calls to the platform, most of them watches asked again after each change. The pause between two watches grows with the nodes: 15 ms a node, 150 ms at least, a quarter of a server's drain at most. Ruled out: orders sent twice (one holder, each order once), a late notice.

--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -63,6 +63,7 @@
   std::unique_ptr<KindWatcher> MakeWatcher(const std::string& kind,
                                            KindWatcher::Hooks hooks);
   Duration WatchWait() const;
+  Duration GatherTime() const;
   void OnStoreLost(const std::string& kind, const std::string& why);
   void OnStoreRegained(const std::string& kind);
   void OnConfigObject(const StoredObject& object);
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -16,6 +16,10 @@
 // Part of the store's read rate that all nodes' watches may use.
 constexpr double kWatchShare = 0.25;
 constexpr double kWatchesPerNode = 3;
+constexpr Duration kGatherPerNode = std::chrono::milliseconds(15);
+constexpr Duration kLeastGather = std::chrono::milliseconds(150);
+constexpr Duration kMostGather = std::chrono::seconds(1);
+constexpr int64_t kGathersPerDrain = 4;
 constexpr Duration kRegisterLimit = std::chrono::seconds(1);
 constexpr Duration kRegisterRetry = std::chrono::milliseconds(500);
 constexpr int kConflict = 409;
@@ -38,6 +42,7 @@
     }
   };
   hooks.wait = [this] { return WatchWait(); };
+  hooks.gather = [this] { return GatherTime(); };
   if (!hooks.on_confirmed) {
     hooks.on_confirmed = [](uint64_t) {};
   }
@@ -55,6 +60,17 @@
                               kMostWatchWait);
 }
 
+// Each change goes to every node; many nodes take several changes a call, and
+// stay well within the time that a leaving server gives.
+Duration GatewayNode::GatherTime() const {
+  const Duration wanted = kGatherPerNode * static_cast<int64_t>(state_.nodes());
+  const Duration most =
+      std::max(kLeastGather,
+               std::min<Duration>(kMostGather, state_.settings.server_drain /
+                                                   kGathersPerDrain));
+  return std::clamp<Duration>(wanted, kLeastGather, most);
+}
+
 void GatewayNode::OnStoreLost(const std::string& kind, const std::string& why) {
   state_.log.Write(LogLine(ToName(GatewayEvent::kDependencyLost))
                        .With("dependency", "store")
--- a/modules/qh_gateway/control/kind_watcher.cpp
+++ b/modules/qh_gateway/control/kind_watcher.cpp
@@ -107,7 +107,7 @@
   }
   revision_ = std::max(revision_, events.value().revision);
   hooks_.on_confirmed(revision_);
-  After(kGatherTime, [this] { Watch(); });
+  After(hooks_.gather(), [this] { Watch(); });
 }
 
 void KindWatcher::OnSuccess() {
--- a/modules/qh_gateway/control/kind_watcher.h
+++ b/modules/qh_gateway/control/kind_watcher.h
@@ -26,8 +26,6 @@
   // Beyond the wait, until a watch's connection counts as silent.
   static constexpr Duration kWatchSlack = std::chrono::milliseconds(500);
   static constexpr Duration kRetryPause = std::chrono::milliseconds(150);
-  // Between two watches, so that changes that come together cost one call.
-  static constexpr Duration kGatherTime = std::chrono::milliseconds(150);
 
   struct Hooks {
     // The whole kind, as of `revision`.
@@ -42,6 +40,9 @@
     std::function<void()> on_regained;
     // How long a watch may wait.
     std::function<Duration()> wait;
+    // Time between two watches, so that changes that come together cost one
+    // call.
+    std::function<Duration()> gather;
   };
 
   KindWatcher(boost::asio::io_context& io,
--- a/modules/qh_gateway/decisions/capacity_plan.cpp
+++ b/modules/qh_gateway/decisions/capacity_plan.cpp
@@ -48,6 +48,24 @@
   return known ? peak : std::max(peak, history.found);
 }
 
+// Until reclaimable servers run, others stand in for them; while they are short
+// also for those that the next reclaim may take, as none would replace them.
+double CapacityPlan::Lacking(
+    const History& history,
+    double needed,
+    const std::map<std::pair<FailureDomainId, bool>, uint32_t>& running,
+    TimePoint now) const {
+  double total = 0;
+  double most = 0;
+  for (const auto& [place, count] : running) {
+    const double spot = place.second ? count : 0;
+    total += spot;
+    most = std::max(most, spot);
+  }
+  const double sure = now < history.short_until ? total - most : total;
+  return std::max(0.0, settings_.stand_in * needed - sure);
+}
+
 std::vector<ServerOrder> CapacityPlan::Plan(
     const ServiceRule& service,
     const ServiceDemand& demand,
@@ -57,7 +75,7 @@
   History& history =
       histories_.try_emplace(service.name, History{.first_seen = now})
           .first->second;
-  if (!history.first_demand) {
+  if (!history.first_demand && !history.planned) {
     double found = 0;
     for (const ServerRecord* server : servers) {
       if (server->service == service.name && !server->draining) {
@@ -71,6 +89,8 @@
   if (now - history.first_seen < settings_.settle) {
     return {};
   }
+  // What comes from now on may be what was ordered.
+  history.planned = true;
   std::vector<std::pair<double, FailureDomainId>> domains;
   for (const auto& [domain, price] : scaling.domain_prices) {
     domains.emplace_back(price, domain);
@@ -82,11 +102,9 @@
   const double count = static_cast<double>(domains.size());
 
   std::map<std::pair<FailureDomainId, bool>, uint32_t> running;
-  double spot_total = 0;
   for (const ServerRecord* server : servers) {
     if (server->service == service.name && !server->draining) {
       ++running[{server->failure_domain, server->spot}];
-      spot_total += server->spot ? 1 : 0;
     }
   }
 
@@ -95,11 +113,8 @@
           ? std::clamp(CeilOf(needed * settings_.spot_reserve / count), 1U,
                        scaling.max_servers)
           : 0;
-  // Until reclaimable servers run, others stand in for them.
-  const double lacking =
-      std::max(0.0, settings_.stand_in * needed - spot_total);
-  uint32_t steady_left =
-      CeilOf(std::max(needed * settings_.steady_share, lacking));
+  uint32_t steady_left = CeilOf(std::max(
+      needed * settings_.steady_share, Lacking(history, needed, running, now)));
 
   std::vector<ServerOrder> wanted;
   for (size_t i = 0; i < domains.size(); ++i) {
@@ -151,6 +166,10 @@
 void CapacityPlan::OnRefused(const ServerOrder& order, TimePoint now) {
   ordered_.erase(KeyOf(order));
   refused_[KeyOf(order)] = now + settings_.refusal_pause;
+  const auto history = histories_.find(order.service);
+  if (order.spot && history != histories_.end()) {
+    history->second.short_until = now + settings_.shortage;
+  }
 }
 
 void CapacityPlan::Forget() {
--- a/modules/qh_gateway/decisions/capacity_plan.h
+++ b/modules/qh_gateway/decisions/capacity_plan.h
@@ -53,6 +53,9 @@
     Duration average = std::chrono::seconds(3);
     // Demand falls slowly in this plan: the highest of so long counts.
     Duration memory = std::chrono::seconds(12);
+    // After a refused order for reclaimable servers they are taken to be short
+    // for so long: others cover the loss of one more failure domain.
+    Duration shortage = std::chrono::seconds(6);
     // A refused order is not repeated before this.
     Duration refusal_pause = std::chrono::seconds(2);
     // Beyond the boot time, until servers that did not come are ordered again.
@@ -90,8 +93,11 @@
   // What is remembered of one service.
   struct History {
     TimePoint first_seen;
-    // Most need that servers found while the demand was not known stand for.
+    // Need that the servers found before the first orders stand for.
     double found = 0;
+    bool planned = false;
+    // Until when reclaimable servers are taken to be short.
+    TimePoint short_until;
     // Averaged need, and when it was averaged.
     double average = 0;
     std::optional<TimePoint> averaged_at;
@@ -101,6 +107,12 @@
     std::vector<Peak> peaks;
   };
 
+  // How many servers others must stand in for.
+  double Lacking(
+      const History& history,
+      double needed,
+      const std::map<std::pair<FailureDomainId, bool>, uint32_t>& running,
+      TimePoint now) const;
   double Needed(History& history,
                 const ServiceRule& service,
                 const ServiceDemand& demand,
--- a/tests/qh_gateway/control_test.cpp
+++ b/tests/qh_gateway/control_test.cpp
@@ -225,6 +225,64 @@
   CHECK(10 * Sum(orders, false) >= demand.open_requests);
 }
 
+// Pattern: reclaims of two zones one after the other, with none to be had.
+TEST_CASE("while reclaimable servers are short the next zone's are covered") {
+  CapacityPlan plan(CapacityPlan::Settings{});
+  const ServiceRule service = Scaled();
+  const ServiceDemand demand{.open_requests = 90};
+  std::map<FailureDomainId, uint32_t> steady;
+  const auto carry_out = [&](const Fleet& fleet, TimePoint now) {
+    for (const auto& order : plan.Plan(service, demand, fleet.All(), now)) {
+      plan.OnAccepted(order, now);
+      if (!order.spot) {
+        steady[order.failure_domain] = order.desired;
+      }
+    }
+    uint32_t sum = 0;
+    for (const auto& [domain, count] : steady) {
+      sum += count;
+    }
+    return sum;
+  };
+  const Fleet whole(4, 20);
+  carry_out(whole, kStart);
+  TimePoint now = kStart + seconds(20);
+  const uint32_t calm = carry_out(whole, now);
+  // Zone x is reclaimed; its servers cannot be ordered again.
+  Fleet left = whole;
+  std::erase_if(left.records, [](const ServerRecord& server) {
+    return server.spot && server.failure_domain == FailureDomainId("x");
+  });
+  now += seconds(1);
+  plan.OnRefused({"chat", FailureDomainId("x"), true, 8}, now);
+  const uint32_t covered = carry_out(left, now);
+  // With a second zone gone too, what is left carries the need.
+  const CapacityPlan::Settings settings;
+  const double needed = demand.open_requests / (10 * settings.slot_use);
+  CHECK(covered + 10 >= settings.stand_in * needed);
+  // Until they can be had again.
+  now += settings.shortage + seconds(1);
+  CHECK(carry_out(whole, now) == calm);
+}
+
+// Pattern: a deployment that starts with more servers than its demand needs.
+TEST_CASE("servers that were ordered do not count as found") {
+  CapacityPlan plan(CapacityPlan::Settings{});
+  const ServiceRule service = Scaled();
+  plan.Plan(service, {}, Fleet(20, 0).All(), kStart);
+  const auto first =
+      plan.Plan(service, {}, Fleet(20, 0).All(), kStart + seconds(4));
+  for (const ServerOrder& order : first) {
+    plan.OnAccepted(order, kStart + seconds(4));
+  }
+  // What was ordered runs beside what was found.
+  const Fleet more(20, Sum(first, true));
+  for (const ServerOrder& order :
+       plan.Plan(service, {}, more.All(), kStart + seconds(8))) {
+    CHECK_FALSE((order.spot && order.desired > first[0].desired));
+  }
+}
+
 TEST_CASE("an order is repeated only when it changed, failed or was lost") {
   CapacityPlan plan(CapacityPlan::Settings{});
   const ServiceRule service = Scaled();
--- a/tests/qh_gateway/kind_watcher_test.cpp
+++ b/tests/qh_gateway/kind_watcher_test.cpp
@@ -45,10 +45,12 @@
             .on_call = [](bool) {},
             .on_lost = [this](const std::string&) { ++lost; },
             .on_regained = [this] { ++regained; },
-            .wait = [] { return std::chrono::milliseconds(200); }});
+            .wait = [] { return std::chrono::milliseconds(200); },
+            .gather = [this] { return gather; }});
     watcher->Start();
   }
 
+  Duration gather = std::chrono::milliseconds(20);
   std::unique_ptr<ScriptedServer> store;
   std::unique_ptr<KindWatcher> watcher;
   // Of each object told, in order.
@@ -81,6 +83,22 @@
   CHECK(store->seen()[2].target.find("watch=7") != std::string::npos);
 }
 
+// Pattern: many nodes, and servers that come and go all the time.
+TEST_CASE_METHOD(Fixture, "changes that come together cost one call") {
+  gather = std::chrono::milliseconds(100);
+  Watch([](size_t call, const HttpHead& head) {
+    const std::string revision = std::to_string(5 + call);
+    return IsWatch(head)
+               ? ServerMove{.bytes = Reply(200, R"({"events":[],"asOf":)" +
+                                                    revision + "}")}
+               : ServerMove{.bytes = List(5, 3)};
+  });
+  const TimePoint start = MonotonicNow();
+  REQUIRE(RunUntil([&] { return store->seen().size() == 5; }));
+  // A list and four watches.
+  CHECK(MonotonicNow() - start >= 3 * gather);
+}
+
 // Pattern: watches hear nothing while changes are made, then the history goes
 // and they are cut. A new watch from the old revision waits for ever.
 TEST_CASE_METHOD(Fixture,
