--- a/modules/qh_gateway/decisions/team_budget.cpp
+++ b/modules/qh_gateway/decisions/team_budget.cpp
@@ -9,6 +9,9 @@
 // Peers forgotten when there are more; only dead processes' entries pile up.
 constexpr size_t kMaxPeersSeen = 2'000;
 
+// Part of a bucket.
+constexpr double kNearlyFull = 0.9;
+
 // What is refused for less than this is free again by the answer's arrival.
 constexpr Duration kShortestWait = std::chrono::milliseconds(10);
 
@@ -104,7 +107,7 @@
   Account& account = found->second;
   const double free = FreeIn(account, now);
   // A request larger than the bucket runs when that is nearly full.
-  const double larger = std::min(units, 0.9 * DepthOf(account));
+  const double larger = std::min(units, kNearlyFull * DepthOf(account));
   const double needed =
       std::max(larger - kSlackPart * AllowanceOf(account), 0.0);
   if (free < needed || free <= 0) {
