Test: what is given back is waited for 0.2 s at least, not only 0.5 s at most

The bucket now refills 180 units in 8 s, so 5 units are back after 0.22 s; the old exact value belonged to a refill by the rate alone.

--- a/tests/qh_gateway/limits_test.cpp
+++ b/tests/qh_gateway/limits_test.cpp
@@ -210,6 +210,8 @@
   const auto wait = budget.Admit(kTeam, 5, kStart);
   REQUIRE(wait);
   CHECK(*wait <= FromSeconds(0.5));
+  // The bucket refills 180 units in 8 s.
+  CHECK(*wait >= milliseconds(200));
   budget.Refund(kTeam, start, kStart, kStart);
   CHECK_FALSE(budget.Admit(kTeam, 5, kStart));
   budget.Refund(kTeam, 5, kStart, kStart + seconds(9));
