The gateway builds without the distribution of our own settings; a check of its packages

What callers saw: nothing was served. The last landing did not build on the users' machines, which hold only the packages of deploy/system.toml: `build` stopped at qh_config/distribution/config_pull.cpp, "msgpack.hpp: No such file or directory".

Cause: the gateway, qh_net and qh_gateway use one header of qh_config for one type, Address. The module is one library, so the distribution of our own settings (msgpack) and the hashes of keys (OpenSSL) were compiled along, and qh_platform's HTTP client (cpp-httplib) in the same way beside the lease that the gateway does use. msgpack stood in scripts/packages and not in the deploy file, so every machine that ran the tests had it.

Evidence: reproduced before anything else was installed, on this machine with the listed packages put in without recommended ones: same error after 23 s. The new scripts/check-build-packages builds the line of deploy/system.toml in a fresh clone and reads what it used.

Why this fixes it: Address moves to qh_core, the blocking HTTP client to a module of its own, qh_http_platform, and a gateway-only build has neither qh_config nor that module. msgpack, OpenSSL, cpp-httplib, brotli and zlib are then not read at all: 30 packages instead of 37 and two names off the list, rather than one more on it. The check on this commit no longer names msgpack or libssl; make, ccache and libboost-dev are left and follow one by one.

Ruled out: naming libmsgpack-cxx-dev alone. It builds too, but keeps the users' build compiling code that the gateway never calls.

Tests: tests/scripts/check_build_packages_test.cpp plays small projects with a right list, a list short of each name in turn, one name too many, a launcher taken where it is installed, a library that only the linker reads, a header of no package, files outside target/, and builds that fail or leave nothing.

--- a/apps/quetzalhall/main.cpp
+++ b/apps/quetzalhall/main.cpp
@@ -10,7 +10,7 @@
 #include "apps/quetzalhall/folder_commands.h"
 #include "apps/quetzalhall/log_trace.h"
 #include "apps/quetzalhall/node_commands.h"
-#include "qh_platform/http_platform.h"
+#include "qh_http_platform/http_platform.h"
 
 namespace {
 
--- a/benchmarks/proxy/proxy_site.cpp
+++ b/benchmarks/proxy/proxy_site.cpp
@@ -9,7 +9,7 @@
 #include <thread>
 
 #include "qh_config/manifest.h"
-#include "qh_platform/http_platform.h"
+#include "qh_http_platform/http_platform.h"
 #include "standins/common/free_ports.h"
 
 namespace qh::bench {
--- a/modules/qh_config/configuration.h
+++ b/modules/qh_config/configuration.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "qh_core/address/address.h"
 #include "qh_core/ids/ids.h"
 #include "qh_core/text/enum_table.h"
 #include "qh_core/time/time.h"
@@ -35,15 +36,6 @@
     {ServerRole::kService, "service"},
 };
 
-struct Address {
-  std::string host;
-  uint16_t port = 0;
-
-  // Returns "host:port".
-  std::string ToString() const { return host + ":" + std::to_string(port); }
-  friend auto operator<=>(const Address&, const Address&) = default;
-};
-
 struct FailureDomain {
   FailureDomainId id;
   std::string region;
--- a/modules/qh_core/qh_core.h
+++ b/modules/qh_core/qh_core.h
@@ -1,8 +1,8 @@
 // Module qh_core
 //
 //   Purpose:       the vocabulary that every other module speaks: errors and
-//                  their answers, results, time, ids, hashes, random numbers,
-//                  enum names, state charts and log lines.
+//                  their answers, results, time, ids, addresses, hashes, random
+//                  numbers, enum names, state charts and log lines.
 //   Dependencies:  none
 //   Libraries:     Boost.Outcome, Boost.Locale (headers), spdlog, xxHash, PCG
 //
@@ -16,6 +16,7 @@
 #include "qh_core/errors/error_kind.h"
 #include "qh_core/errors/result.h"
 #include "qh_core/ids/ids.h"
+#include "qh_core/address/address.h"
 #include "qh_core/hash/hash.h"
 #include "qh_core/random/rng.h"
 #include "qh_core/text/enum_table.h"
--- a/modules/qh_gateway/control/gateway_settings.h
+++ b/modules/qh_gateway/control/gateway_settings.h
@@ -8,8 +8,10 @@
 #include <optional>
 #include <string>
 
-#include "qh_config/configuration.h"
+#include "qh_core/address/address.h"
 #include "qh_core/errors/result.h"
+#include "qh_core/ids/ids.h"
+#include "qh_core/time/time.h"
 
 namespace qh {
 
--- a/modules/qh_gateway/control/peer_news.h
+++ b/modules/qh_gateway/control/peer_news.h
@@ -8,8 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "qh_config/configuration.h"
+#include "qh_core/address/address.h"
 #include "qh_core/errors/result.h"
+#include "qh_core/time/time.h"
 #include "qh_gateway/decisions/crash_tally.h"
 #include "qh_gateway/decisions/server_load.h"
 #include "qh_gateway/decisions/store_contact.h"
--- a/modules/qh_gateway/decisions/node_table.h
+++ b/modules/qh_gateway/decisions/node_table.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "qh_config/configuration.h"
+#include "qh_core/address/address.h"
 #include "qh_core/time/time.h"
 
 namespace qh {
--- a/modules/qh_gateway/decisions/server_directory.h
+++ b/modules/qh_gateway/decisions/server_directory.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "qh_core/ids/ids.h"
+#include "qh_core/text/enum_table.h"
 #include "qh_core/time/time.h"
 #include "qh_gateway/model/server_record.h"
 
--- a/modules/qh_gateway/qh_gateway.h
+++ b/modules/qh_gateway/qh_gateway.h
@@ -5,8 +5,7 @@
 //                  event-driven data path, the decisions behind it, and the
 //                  node around both. It knows no name of the platform's; those
 //                  come in as a WireCodec.
-//   Dependencies:  qh_core, qh_net, qh_config (addresses), qh_metrics,
-//                  qh_platform (leases)
+//   Dependencies:  qh_core, qh_net, qh_metrics, qh_platform (leases)
 //   Libraries:     Boost.Asio, nlohmann/json
 //
 // model/ holds values, decisions/ is pure, forwarding/ moves bytes, control/
--- a/modules/qh_platform/connection_pool.cpp
+++ b/modules/qh_http_platform/connection_pool.cpp
@@ -1,4 +1,4 @@
-#include "qh_platform/connection_pool.h"
+#include "qh_http_platform/connection_pool.h"
 
 #include <httplib.h>
 
--- a/modules/qh_platform/connection_pool.h
+++ b/modules/qh_http_platform/connection_pool.h
@@ -1,8 +1,8 @@
 // Kept connections to one HTTP server. A connection that failed is never used
 // again, so no late answer can reach another call.
 
-#ifndef QH_PLATFORM_CONNECTION_POOL_H_
-#define QH_PLATFORM_CONNECTION_POOL_H_
+#ifndef QH_HTTP_PLATFORM_CONNECTION_POOL_H_
+#define QH_HTTP_PLATFORM_CONNECTION_POOL_H_
 
 #include <cstdint>
 #include <functional>
@@ -44,4 +44,4 @@
 
 }  // namespace qh
 
-#endif  // QH_PLATFORM_CONNECTION_POOL_H_
+#endif  // QH_HTTP_PLATFORM_CONNECTION_POOL_H_
--- a/modules/qh_platform/http_platform.cpp
+++ b/modules/qh_http_platform/http_platform.cpp
@@ -1,4 +1,4 @@
-#include "qh_platform/http_platform.h"
+#include "qh_http_platform/http_platform.h"
 
 #include <httplib.h>
 
--- a/modules/qh_platform/http_platform.h
+++ b/modules/qh_http_platform/http_platform.h
@@ -1,8 +1,8 @@
 // The platform over HTTP: object API and instance list. The only file that
 // knows the platform's URLs and field names.
 
-#ifndef QH_PLATFORM_HTTP_PLATFORM_H_
-#define QH_PLATFORM_HTTP_PLATFORM_H_
+#ifndef QH_HTTP_PLATFORM_HTTP_PLATFORM_H_
+#define QH_HTTP_PLATFORM_HTTP_PLATFORM_H_
 
 #include <memory>
 #include <string>
@@ -35,4 +35,4 @@
 
 }  // namespace qh
 
-#endif  // QH_PLATFORM_HTTP_PLATFORM_H_
+#endif  // QH_HTTP_PLATFORM_HTTP_PLATFORM_H_
--- a/modules/qh_net/socket_options.h
+++ b/modules/qh_net/socket_options.h
@@ -8,7 +8,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include "qh_config/configuration.h"
+#include "qh_core/address/address.h"
 #include "qh_core/errors/result.h"
 
 namespace qh {
--- a/modules/qh_node/node.cpp
+++ b/modules/qh_node/node.cpp
@@ -7,6 +7,7 @@
 
 #include "qh_core/hash/hash.h"
 #include "qh_core/log/log_line.h"
+#include "qh_http_platform/http_platform.h"
 #include "qh_node/callers/caller_server.h"
 #include "qh_node/control/admin_server.h"
 #include "qh_node/control/claim_shell.h"
@@ -16,7 +17,6 @@
 #include "qh_node/control/membership_shell.h"
 #include "qh_node/handover/request_mover.h"
 #include "qh_peer/peer_server.h"
-#include "qh_platform/http_platform.h"
 
 namespace qh {
 namespace {
--- a/modules/qh_platform/qh_platform.h
+++ b/modules/qh_platform/qh_platform.h
@@ -1,11 +1,10 @@
 // Module qh_platform
 //
 //   Purpose:       the platform's services behind data and hooks: the object
-//   API
-//                  with conditional writes and watches, leases with fencing
-//                  numbers on top of it, the instance list and notices.
+//                  API with conditional writes and watches, leases with
+//                  fencing numbers on top of it, the instance list and notices.
 //   Dependencies:  qh_core
-//   Libraries:     cpp-httplib, nlohmann/json
+//   Libraries:     nlohmann/json
 
 #ifndef QH_PLATFORM_QH_PLATFORM_H_
 #define QH_PLATFORM_QH_PLATFORM_H_
@@ -20,8 +19,6 @@
 #include "qh_platform/lease/shard_map.h"
 #include "qh_platform/cloud/instance_list.h"
 #include "qh_platform/cloud/cloud_api.h"
-#include "qh_platform/connection_pool.h"
-#include "qh_platform/http_platform.h"
 // clang-format on
 
 #endif  // QH_PLATFORM_QH_PLATFORM_H_
--- a/tests/cli/folder_commands_test.cpp
+++ b/tests/cli/folder_commands_test.cpp
@@ -14,7 +14,7 @@
 #include "apps/quetzalhall/admin_client.h"
 #include "apps/quetzalhall/line_diff.h"
 #include "qh_config/schema/reference_page.h"
-#include "qh_platform/http_platform.h"
+#include "qh_http_platform/http_platform.h"
 #include "standins/platform/platform_standin.h"
 
 namespace qh::cli {
--- a/tests/qh_node/cluster_fixture.cpp
+++ b/tests/qh_node/cluster_fixture.cpp
@@ -8,7 +8,7 @@
 
 #include "qh_config/manifest.h"
 #include "qh_http/http_listener.h"
-#include "qh_platform/http_platform.h"
+#include "qh_http_platform/http_platform.h"
 
 namespace qh {
 namespace {
--- a/tests/scripts/run_tests_test.cpp
+++ b/tests/scripts/run_tests_test.cpp
@@ -1,33 +1,19 @@
 // scripts/run-tests counts what test programs report. Stand-ins for programs
 // are shell scripts that print a report of Catch2's form.
 
-#include <sys/wait.h>
 #include <unistd.h>
 
-#include <array>
 #include <catch2/catch.hpp>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 
+#include "scripts/script_run.h"
+
 namespace qh {
 namespace {
 
 namespace fs = std::filesystem;
 
-struct RunResult {
-  int code = 0;
-  std::string output;
-
-  std::string LastLine() const {
-    const std::string text = output.substr(0, output.size() - 1);
-    return text.substr(text.rfind('\n') + 1);
-  }
-  bool Says(const std::string& text) const {
-    return output.find(text) != std::string::npos;
-  }
-};
-
 // A build folder with programs of known results.
 class Build {
  public:
@@ -49,19 +35,12 @@
     fs::permissions(path, fs::perms::owner_all);
   }
 
-  RunResult Run(const std::string& known_red) const {
+  ScriptRun Run(const std::string& known_red) const {
     std::ofstream(folder_ / "known") << known_red;
     const std::string command =
         "QH_TESTS= QH_KNOWN_RED=" + (folder_ / "known").string() +
-        " " QH_SOURCE_DIR "/scripts/run-tests " + folder_.string() + " 2>&1";
-    RunResult result;
-    FILE* pipe = popen(command.c_str(), "r");
-    std::array<char, 4'096> buffer{};
-    while (const size_t size = fread(buffer.data(), 1, buffer.size(), pipe)) {
-      result.output.append(buffer.data(), size);
-    }
-    result.code = WEXITSTATUS(pclose(pipe));
-    return result;
+        " " QH_SOURCE_DIR "/scripts/run-tests " + folder_.string();
+    return RunScript(command);
   }
 
  private:
@@ -87,7 +66,7 @@
   CHECK(build.Run("").code == 0);
 
   build.AddProgram("test_b", std::string(kGood) + kBadStart + kBadEnd, 1);
-  const RunResult result = build.Run("");
+  const ScriptRun result = build.Run("");
   CHECK(result.LastLine() == "2 passed, 1 failed");
   CHECK(result.code == 1);
   CHECK(result.Says("FAILED: bad <one>\n"));
@@ -97,7 +76,7 @@
 TEST_CASE("known red cases are printed and passed over, others are not") {
   const Build build;
   build.AddProgram("test_b", std::string(kGood) + kBadStart + kBadEnd, 1);
-  const RunResult known = build.Run("bad <one> | command | seen | issue 1\n");
+  const ScriptRun known = build.Run("bad <one> | command | seen | issue 1\n");
   CHECK(known.code == 0);
   CHECK(known.LastLine() == "1 passed, 0 failed");
   CHECK(known.Says("KNOWN RED: bad <one>\n"));
@@ -108,11 +87,11 @@
 TEST_CASE("a program that crashes or reports nothing has failed") {
   const Build build;
   build.AddProgram("test_c", std::string(kGood) + kBadStart, 139);
-  const RunResult crashed = build.Run("");
+  const ScriptRun crashed = build.Run("");
   CHECK(crashed.LastLine() == "1 passed, 1 failed");
   CHECK(crashed.Says("FAILED: bad <one>\n"));
   build.AddProgram("test_c", "", 127);
-  const RunResult silent = build.Run("");
+  const ScriptRun silent = build.Run("");
   CHECK(silent.code == 1);
   CHECK(silent.LastLine() == "0 passed, 1 failed");
 }
--- a/tests/standins/platform_standin_test.cpp
+++ b/tests/standins/platform_standin_test.cpp
@@ -7,7 +7,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include "qh_platform/http_platform.h"
+#include "qh_http_platform/http_platform.h"
 #include "standins/platform/call_budget.h"
 #include "standins/platform/cloud_table.h"
 #include "standins/platform/weight_rate.h"
