Team limits: the room of a window is written once

Behaviour is the same; test_qh_gateway, test_qh_core, test_qh_config and test_scripts: 104 passed, 0 failed.

--- a/modules/qh_gateway/decisions/team_budget.cpp
+++ b/modules/qh_gateway/decisions/team_budget.cpp
@@ -80,13 +80,16 @@
   account.level = std::min(DepthOf(account), account.level - units);
 }
 
+double TeamBudget::RoomInWindow(Account& account, TimePoint now) const {
+  return GrantOf(account) + kOpenPart * AllowanceOf(account) -
+         account.used.Sum(now);
+}
+
 double TeamBudget::FreeIn(Account& account, TimePoint now) const {
   Fill(account, now);
   const double speaking =
       static_cast<double>(peers_ - std::min(silent_, peers_));
-  const double in_window = GrantOf(account) + kOpenPart * AllowanceOf(account) -
-                           account.used.Sum(now);
-  return std::min(in_window, account.level) -
+  return std::min(RoomInWindow(account, now), account.level) -
          kPeerMirror * speaking * account.untold;
 }
 
@@ -124,13 +127,11 @@
                              TimePoint now) const {
   const double window = ToSeconds(allowance_.window);
   const Duration refilled = FromSeconds(missing * window / GrantOf(account));
-  const double used = account.used.Sum(now);
-  const double room =
-      GrantOf(account) + kOpenPart * AllowanceOf(account) - used;
   // Only when the window is what lacks room.
-  const Duration left = room < account.level
-                            ? account.used.UntilBelow(used - missing, now)
-                            : Duration::zero();
+  const Duration left =
+      RoomInWindow(account, now) < account.level
+          ? account.used.UntilBelow(account.used.Sum(now) - missing, now)
+          : Duration::zero();
   return std::max({refilled, left, kShortestWait});
 }
 
--- a/modules/qh_gateway/decisions/team_budget.h
+++ b/modules/qh_gateway/decisions/team_budget.h
@@ -99,6 +99,8 @@
   double SilentShare() const;
   void Fill(Account& account, TimePoint now) const;
   void Use(Account& account, double units, TimePoint now) const;
+  // What the use of the last window leaves of what the limit grants in it.
+  double RoomInWindow(Account& account, TimePoint now) const;
   double FreeIn(Account& account, TimePoint now) const;
   // When `missing` units more will be free, if nothing else is admitted.
   Duration WaitFor(Account& account, double missing, TimePoint now) const;
