--- a/modules/qh_config/loading/document.cpp
+++ b/modules/qh_config/loading/document.cpp
@@ -130,10 +130,8 @@
 
 void Document::Merge(const std::string& file, const std::string& text) {
   // The JSON reader looks at strings only, not at comments.
-  if (const auto place = FindInvalidUtf8(text)) {
-    mistakes_.push_back({file, "",
-                         "not UTF-8: line " + std::to_string(place->line) +
-                             ", column " + std::to_string(place->column)});
+  if (const auto invalid = DescribeInvalidUtf8(text)) {
+    mistakes_.push_back({file, "", *invalid});
     faulty_texts_.push_back(text);
     fault_paths_.emplace_back();
     return;
--- a/modules/qh_core/text/utf8.cpp
+++ b/modules/qh_core/text/utf8.cpp
@@ -25,4 +25,13 @@
   return std::nullopt;
 }
 
+std::optional<std::string> DescribeInvalidUtf8(std::string_view text) {
+  const std::optional<TextPlace> place = FindInvalidUtf8(text);
+  if (!place) {
+    return std::nullopt;
+  }
+  return "not UTF-8: line " + std::to_string(place->line) + ", column " +
+         std::to_string(place->column);
+}
+
 }  // namespace qh
--- a/modules/qh_core/text/utf8.h
+++ b/modules/qh_core/text/utf8.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace qh {
@@ -20,6 +21,10 @@
 // Returns where `text` first is not UTF-8, or nothing when all of it is.
 std::optional<TextPlace> FindInvalidUtf8(std::string_view text);
 
+// Returns where `text` first is not UTF-8 in words for whoever wrote it, or
+// nothing when all of it is.
+std::optional<std::string> DescribeInvalidUtf8(std::string_view text);
+
 }  // namespace qh
 
 #endif  // QH_CORE_TEXT_UTF8_H_
--- a/modules/qh_gateway/control/gateway_settings.cpp
+++ b/modules/qh_gateway/control/gateway_settings.cpp
@@ -86,10 +86,8 @@
 
 Result<GatewaySettings> GatewaySettings::Parse(const std::string& text,
                                                const std::string& name) {
-  if (const auto place = FindInvalidUtf8(text)) {
-    return Error(ErrorKind::kConfigInvalid,
-                 name + ": not UTF-8: line " + std::to_string(place->line) +
-                     ", column " + std::to_string(place->column));
+  if (const auto invalid = DescribeInvalidUtf8(text)) {
+    return Error(ErrorKind::kConfigInvalid, name + ": " + *invalid);
   }
   const Json json = Json::parse(text, nullptr, false, true);
   if (!json.is_object()) {
