A peer's list of servers that the store has overtaken takes nothing back

What callers saw: requests went to a server that had said 4.4 s before that it leaves (DRAIN; bound 3 s plus contact).

Cause: a node that the store turns away takes the servers from a peer. Its fetch may still be under way when the store serves it again; the answer, older than the list just read, then replaced that list and undid a drain. The watch goes on from the list's revision, so the drain was not told once more until the server went.

One that is passed over, or that can't be read (before: an exception for a registration that is no text), has a log line. Ruled out: the watch's pause (0.45 s at 30 nodes) and its wait (5 s, not silent: the node was served again).

--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -130,7 +130,7 @@
            [this](const StoredObject& object) { OnServerObject(object); },
        .on_confirmed =
            [this](uint64_t revision) {
-             servers_revision_ = std::max(servers_revision_, revision);
+             servers_.OnConfirmed(revision);
              state_.servers_confirmed = MonotonicNow();
            }});
   node_watch_ = MakeWatcher(
@@ -246,7 +246,7 @@
           .With("config",
                 state_.config == nullptr ? 0 : state_.config->version())
           .With("servers", state_.directory.All().size())
-          .With("servers_revision", servers_revision_),
+          .With("servers_revision", servers_.revision()),
       event);
   SendNews(MonotonicNow());
 }
--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -18,6 +18,7 @@
 #include "qh_gateway/control/kind_watcher.h"
 #include "qh_gateway/control/peer_news.h"
 #include "qh_gateway/decisions/node_table.h"
+#include "qh_gateway/decisions/server_snapshot.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 #include "qh_net/http_service.h"
 
@@ -78,6 +79,8 @@
   void ReceiveNews();
   void OnNews(const PeerNews& news);
   void FetchFromPeers(TimePoint now);
+  // A peer sent its snapshot of the servers.
+  void OnPeerServers(const std::string& encoded);
   void Fetch(const Address& peer,
              const std::string& what,
              std::function<void(const std::string&)> on_body);
@@ -119,8 +122,7 @@
   std::shared_ptr<HttpClient> register_client_;
   // The store's content as it came, for peers that can't reach the store.
   std::string config_content_;
-  std::map<std::string, std::string> server_contents_;
-  uint64_t servers_revision_ = 0;
+  ServerSnapshot servers_;
   // Since when a peer has known something newer.
   std::optional<TimePoint> behind_since_;
   StoreContact contact_;
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -1,13 +1,10 @@
 // The part of GatewayNode that talks to the other nodes.
 
-#include <nlohmann/json.hpp>
-
 #include "qh_gateway/control/gateway_node.h"
 
 namespace qh {
 namespace {
 
-using Json = nlohmann::json;
 using boost::asio::ip::udp;
 
 constexpr const char* kConfigPath = "/config";
@@ -40,7 +37,7 @@
       .draining = state_.draining_since.has_value(),
       .callers = state_.settings.callers,
       .config_version = state_.config == nullptr ? 0 : state_.config->version(),
-      .servers_revision = servers_revision_,
+      .servers_revision = servers_.revision(),
       .store = contact_.News(now),
       .open_work = state_.picker.load().own(),
       .team_totals = state_.team_budget.totals(),
@@ -128,7 +125,7 @@
   const auto config_peer = nodes_.PeerWithConfigAfter(version, now);
   const bool blind = !state_.servers_confirmed || contact_.is_lost();
   const auto server_peer =
-      blind ? nodes_.PeerWithServersAfter(servers_revision_, now)
+      blind ? nodes_.PeerWithServersAfter(servers_.revision(), now)
             : std::nullopt;
   if (!config_peer && !server_peer) {
     behind_since_.reset();
@@ -144,19 +141,23 @@
     });
     return;
   }
-  Fetch(*server_peer, kServersPath, [this](const std::string& body) {
-    const Json json = Json::parse(body, nullptr, false);
-    if (!json.is_object() || !json.contains("servers")) {
-      return;
-    }
-    std::vector<StoredObject> objects;
-    for (const auto& [name, content] : json["servers"].items()) {
-      objects.push_back({.name = name, .content = content});
-    }
-    OnServerList(objects);
-    servers_revision_ =
-        std::max(servers_revision_, json.value("revision", uint64_t{0}));
-  });
+  Fetch(*server_peer, kServersPath,
+        [this](const std::string& body) { OnPeerServers(body); });
+}
+
+void GatewayNode::OnPeerServers(const std::string& encoded) {
+  const auto page = servers_.ReadNewer(encoded);
+  if (!page || !page.value()) {
+    state_.log.Write(
+        LogLine(ToName(GatewayEvent::kPeerChanged))
+            .With("passed_over", kServersPath)
+            .With("why", page ? "not newer" : page.error().detail())
+            .With("servers_revision", servers_.revision()),
+        GatewayEvent::kPeerChanged);
+    return;
+  }
+  OnServerList(page.value()->objects);
+  servers_.OnConfirmed(page.value()->revision);
 }
 
 void GatewayNode::Fetch(const Address& peer,
@@ -186,10 +187,8 @@
   if (head.target == kConfigPath && !config_content_.empty()) {
     return {.body = config_content_};
   }
-  if (head.target == kServersPath && servers_revision_ > 0) {
-    return {.body = Json{{"revision", servers_revision_},
-                         {"servers", server_contents_}}
-                        .dump()};
+  if (head.target == kServersPath && servers_.revision() > 0) {
+    return {.body = servers_.Encode()};
   }
   return {.status = kNotFound};
 }
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -120,24 +120,25 @@
 void GatewayNode::OnServerObject(const StoredObject& object) {
   const auto server = object.removed ? std::nullopt : ReadServer(object);
   if (!server) {
-    server_contents_.erase(object.name);
+    servers_.OnRemoved(object.name);
     state_.directory.OnRemoved(ServerId(object.name),
                                contact_.KeepsMissing(MonotonicNow()));
     return;
   }
-  server_contents_[object.name] = object.content;
+  servers_.OnObject(object);
   state_.directory.OnServer(*server);
 }
 
 void GatewayNode::OnServerList(const std::vector<StoredObject>& objects) {
   std::vector<ServerRecord> servers;
-  server_contents_.clear();
+  std::vector<StoredObject> readable;
   for (const StoredObject& object : objects) {
     if (auto server = ReadServer(object)) {
       servers.push_back(std::move(*server));
-      server_contents_[object.name] = object.content;
+      readable.push_back(object);
     }
   }
+  servers_.OnList(readable);
   const TimePoint now = MonotonicNow();
   state_.directory.OnList(servers, contact_.KeepsMissing(now));
   state_.servers_confirmed = now;
