--- a/modules/qh_node/qh_node.h
+++ b/modules/qh_node/qh_node.h
@@ -4,7 +4,8 @@
 //                  callers' HTTP, backend calls, peers, the platform,
 //                  operators.
 //   Dependencies:  qh_core, qh_http, qh_config, qh_peer, qh_metrics,
-//                  qh_platform, qh_membership, qh_requests, qh_routing
+//                  qh_platform, qh_http_platform, qh_membership,
+//                  qh_requests, qh_routing
 //   Libraries:     cpp-httplib, nlohmann/json
 
 #ifndef QH_NODE_QH_NODE_H_
