--- a/modules/qh_gateway/control/event_log.cpp
+++ b/modules/qh_gateway/control/event_log.cpp
@@ -10,6 +10,7 @@
     case GatewayEvent::kConfigRejected:
     case GatewayEvent::kServerEjected:
     case GatewayEvent::kDependencyLost:
+    case GatewayEvent::kStoreRestored:
     case GatewayEvent::kRequestFailed:
     case GatewayEvent::kAttemptFailed:
     case GatewayEvent::kLeaseLost:
--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -59,11 +59,19 @@
       state_(io, codec, settings, started_at_, Hash64(incarnation_)),
       nodes_(settings.node.value()),
       leader_tasks_(state_, incarnation_, Hash64(incarnation_, 1)),
+      register_connection_(io,
+                           settings.store_address,
+                           codec.store,
+                           state_.store_epoch),
       signals_(io, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(io),
       register_timer_(io),
       accept_timer_(io),
-      heartbeat_socket_(io) {}
+      heartbeat_socket_(io) {
+  state_.on_store_epoch = [this](uint64_t epoch, bool restored) {
+    OnStoreEpoch(epoch, restored);
+  };
+}
 
 GatewayNode::~GatewayNode() = default;
 
@@ -138,23 +146,21 @@
            [this](const StoredObject& object) { OnServerObject(object); },
        .on_confirmed =
            [this](uint64_t revision) {
-             server_snapshot_.OnConfirmed(revision);
+             server_snapshot_.OnConfirmed(
+                 {state_.store_epoch.current(), revision});
              state_.servers_confirmed_at = MonotonicNow();
            }});
   node_watcher_ = MakeWatcher(
       kGatewayNodeKind,
       {.on_list =
            [this](const std::vector<StoredObject>& objects) {
-             for (const StoredObject& object : objects) {
-               OnNodeObject(object);
-             }
+             OnNodeList(objects);
            },
        .on_change =
            [this](const StoredObject& object) { OnNodeObject(object); }});
   config_watcher_->Start();
   server_watcher_->Start();
   node_watcher_->Start();
-  register_client_ = HttpClient::Create(io_, settings.store_address);
   RegisterNode();
   WaitForSignals();
   Accept();
@@ -215,7 +221,7 @@
   const TimePoint now = MonotonicNow();
   state_.wall_clock.OnLocalTime(WallNow(), now);
   state_.log.OnTick(now);
-  state_.directory.OnTick(store_reachability_.KeepsMissingServers(now));
+  state_.directory.OnTick(store_reachability_.KeepsMissingServers(now), now);
   state_.picker.OnTick(now);
   state_.connection_pool.OnTick(now);
   state_.peer_count = nodes_.KnownCount(now);
@@ -255,7 +261,7 @@
           .With("config",
                 state_.config == nullptr ? 0 : state_.config->version())
           .With("servers", state_.directory.All().size())
-          .With("servers_revision", server_snapshot_.revision()),
+          .With("servers_revision", server_snapshot_.version().revision),
       event);
   SendHeartbeat(MonotonicNow());
 }
--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -90,7 +90,11 @@
   // Decodes a server's registration; logs one that can't be decoded.
   std::optional<ServerRecord> ReadServer(const StoredObject& object);
   void OnServerList(const std::vector<StoredObject>& objects);
+  // Registers this node anew if the store has lost its registration.
+  void OnNodeList(const std::vector<StoredObject>& objects);
   void OnNodeObject(const StoredObject& object);
+  // The store's epoch became known or rose.
+  void OnStoreEpoch(uint64_t epoch, bool restored);
   // Writes this node's address for heartbeats to the store, with retries.
   void RegisterNode();
 
@@ -126,6 +130,9 @@
   GatewayState state_;
   NodeTable nodes_;
   LeaderTasks leader_tasks_;
+  StoreConnection register_connection_;
+  // Whether the store holds this node's registration.
+  bool registered_ = false;
 
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_timer_;
@@ -147,7 +154,6 @@
   std::unique_ptr<StoreWatcher> config_watcher_;
   std::unique_ptr<StoreWatcher> server_watcher_;
   std::unique_ptr<StoreWatcher> node_watcher_;
-  std::shared_ptr<HttpClient> register_client_;
   // Stored content of the configuration in force, for peers that can't reach
   // the store.
   std::string config_content_;
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -41,7 +41,11 @@
       .draining = state_.draining_since.has_value(),
       .caller_address = state_.settings.caller_address,
       .config_version = state_.config == nullptr ? 0 : state_.config->version(),
-      .servers_revision = server_snapshot_.revision(),
+      .store_epoch = state_.store_epoch.known(),
+      .servers_version = server_snapshot_.version(),
+      .departures = state_.directory.departures().Recent(now),
+      .pauses = state_.picker.pauses().Report(now),
+      .reported_window = leader_tasks_.reported_window(),
       .store_reachability = store_reachability_.Report(now),
       .outstanding_work = state_.picker.load().own(),
       .team_totals = state_.team_rate_limiter.totals(),
@@ -101,8 +105,16 @@
                       .ready = heartbeat.ready,
                       .draining = heartbeat.draining,
                       .config_version = heartbeat.config_version,
-                      .servers_revision = heartbeat.servers_revision},
+                      .servers_version = heartbeat.servers_version},
                      now);
+  if (heartbeat.store_epoch) {
+    state_.store_epoch.Observe(*heartbeat.store_epoch);
+  }
+  for (const ServerProcess& process : heartbeat.departures) {
+    state_.directory.OnLeaving(process, now);
+  }
+  state_.picker.pauses().OnPeer(heartbeat.pauses, now);
+  leader_tasks_.OnPeerReported(heartbeat.reported_window);
   store_reachability_.OnPeer(heartbeat.node, heartbeat.store_reachability, now);
   state_.wall_clock.OnPeer(heartbeat.node, heartbeat.wall_time, now);
   state_.picker.load().OnPeer(heartbeat.node, heartbeat.outstanding_work, now);
@@ -134,7 +146,7 @@
   const bool needs_servers =
       !state_.servers_confirmed_at || store_reachability_.is_unreachable();
   const auto server_peer = needs_servers ? nodes_.PeerWithServersAfter(
-                                               server_snapshot_.revision(), now)
+                                               server_snapshot_.version(), now)
                                          : std::nullopt;
   if (!config_peer && !server_peer) {
     behind_since_.reset();
@@ -161,12 +173,13 @@
         LogLine(ToName(GatewayEvent::kPeerChanged))
             .With("passed_over", kServersPath)
             .With("why", page ? "not newer" : page.error().detail())
-            .With("servers_revision", server_snapshot_.revision()),
+            .With("servers_epoch", server_snapshot_.version().epoch)
+            .With("servers_revision", server_snapshot_.version().revision),
         GatewayEvent::kPeerChanged);
     return;
   }
   OnServerList(page.value()->objects);
-  server_snapshot_.OnConfirmed(page.value()->revision);
+  server_snapshot_.OnConfirmed(page.value()->version);
 }
 
 void GatewayNode::FetchFromPeer(
@@ -198,7 +211,7 @@
   if (head.target == kConfigPath && !config_content_.empty()) {
     return {.body = config_content_};
   }
-  if (head.target == kServersPath && server_snapshot_.revision() > 0) {
+  if (head.target == kServersPath && server_snapshot_.version().revision > 0) {
     return {.body = server_snapshot_.Encode()};
   }
   return {.status = kNotFound};
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -54,8 +54,8 @@
     hooks.on_confirmed = [](uint64_t) {};
   }
   return std::make_unique<StoreWatcher>(io_, state_.settings.store_address,
-                                        codec_.store, kind, state_.rng.Next(),
-                                        std::move(hooks));
+                                        codec_.store, state_.store_epoch, kind,
+                                        state_.rng.Next(), std::move(hooks));
 }
 
 // With more nodes each call waits longer, so that the calls of all nodes stay
@@ -129,16 +129,17 @@
 }
 
 void GatewayNode::OnServerObject(const StoredObject& object) {
+  const TimePoint now = MonotonicNow();
   const auto server = object.removed ? std::nullopt : ReadServer(object);
   if (!server) {
     server_snapshot_.OnRemoved(object.name);
-    state_.directory.OnRemoved(
-        ServerId(object.name),
-        store_reachability_.KeepsMissingServers(MonotonicNow()));
+    state_.directory.OnRemoved(ServerId(object.name),
+                               store_reachability_.KeepsMissingServers(now),
+                               now);
     return;
   }
   server_snapshot_.OnObject(object);
-  state_.directory.OnServer(*server);
+  state_.directory.OnServer(*server, now);
 }
 
 void GatewayNode::OnServerList(const std::vector<StoredObject>& objects) {
@@ -152,12 +153,53 @@
   }
   server_snapshot_.OnList(readable);
   const TimePoint now = MonotonicNow();
-  state_.directory.OnList(servers,
-                          store_reachability_.KeepsMissingServers(now));
+  state_.directory.OnList(servers, store_reachability_.KeepsMissingServers(now),
+                          now);
   state_.servers_confirmed_at = now;
   UpdateReadiness();
 }
 
+void GatewayNode::OnNodeList(const std::vector<StoredObject>& objects) {
+  bool listed = false;
+  for (const StoredObject& object : objects) {
+    OnNodeObject(object);
+    listed = listed || object.name == state_.settings.node.value();
+  }
+  if (registered_ && !listed) {
+    registered_ = false;
+    RegisterNode();
+  }
+}
+
+void GatewayNode::OnStoreEpoch(uint64_t epoch, bool restored) {
+  leader_tasks_.OnStoreEpoch(epoch, restored);
+  if (!restored) {
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  state_.log.Write(
+      LogLine(ToName(GatewayEvent::kStoreRestored))
+          .With("epoch", epoch)
+          .With("servers_revision", server_snapshot_.version().revision)
+          .With("config",
+                state_.config == nullptr ? 0 : state_.config->version()),
+      GatewayEvent::kStoreRestored);
+  store_reachability_.OnRestored(now);
+  state_.directory.OnStoreRestored(now);
+  // From now on no list of an earlier epoch is accepted from a peer.
+  server_snapshot_.OnConfirmed({.epoch = epoch});
+  for (const auto* watcher :
+       {&config_watcher_, &server_watcher_, &node_watcher_}) {
+    if (*watcher != nullptr) {
+      (*watcher)->OnStoreRestored();
+    }
+  }
+  if (!registered_) {
+    register_connection_.Reset();
+    RegisterNode();
+  }
+}
+
 void GatewayNode::OnNodeObject(const StoredObject& object) {
   const Json json = Json::parse(object.content, nullptr, false);
   if (object.removed || !json.is_object() || !json.contains("peers") ||
@@ -175,11 +217,12 @@
       .name = state_.settings.node.value(),
       .content =
           Json{{"peers", state_.settings.peer_address.ToString()}}.dump()};
-  register_client_->Send(
+  register_connection_.Send(
       codec_.store.create(kGatewayNodeKind, object), kRegisterTimeout,
       [this, object](const CallReply& created) {
         const bool answered = created.outcome == HttpCallOutcome::kAnswered;
         if (answered && created.status < kFirstNonSuccess) {
+          registered_ = true;
           return;
         }
         if (!answered || created.status != kConflict) {
@@ -194,11 +237,12 @@
         }
         // An earlier process of this node registered, maybe with another
         // address.
-        register_client_->Send(
+        register_connection_.Send(
             codec_.store.replace(kGatewayNodeKind, object), kRegisterTimeout,
             [this](const CallReply& replaced) {
-              if (replaced.outcome != HttpCallOutcome::kAnswered ||
-                  replaced.status >= kFirstNonSuccess) {
+              registered_ = replaced.outcome == HttpCallOutcome::kAnswered &&
+                            replaced.status < kFirstNonSuccess;
+              if (!registered_) {
                 RegisterNode();
               }
             });
--- a/modules/qh_gateway/control/gateway_settings.cpp
+++ b/modules/qh_gateway/control/gateway_settings.cpp
@@ -57,6 +57,14 @@
     AddMistake(key, "must be a number of at least " + std::to_string(minimum));
     return fallback;
   }
+  bool Flag(const char* key, bool fallback) {
+    const Json* value = Member(key, false);
+    if (value == nullptr || value->is_boolean()) {
+      return value == nullptr ? fallback : value->get<bool>();
+    }
+    AddMistake(key, "must be true or false");
+    return fallback;
+  }
   Duration Milliseconds(const char* key, Duration fallback) {
     return FromSeconds(Number(key, ToMilliseconds(fallback), 1) / 1'000);
   }
@@ -111,6 +119,7 @@
   settings.store_address = reader.AddressAt("store");
   settings.store_reads_per_second =
       reader.Number("store_reads_per_second", 1'000, 1);
+  settings.first_start = reader.Flag("first_start", settings.first_start);
   settings.cloud_address = reader.OptionalAddress("cloud");
   settings.server_heartbeat =
       reader.Milliseconds("server_heartbeat_ms", settings.server_heartbeat);
--- a/modules/qh_gateway/control/gateway_settings.h
+++ b/modules/qh_gateway/control/gateway_settings.h
@@ -37,6 +37,10 @@
   // Where usage is reported and servers are ordered; empty to do neither.
   std::optional<Address> cloud_address;
 
+  // Whether the whole deployment starts for the first time, so that no other
+  // node can hold a lease.
+  bool first_start = false;
+
   // How often backend servers renew their registration.
   Duration server_heartbeat = std::chrono::milliseconds(1'200);
   // How long a draining server keeps serving at least.
--- a/modules/qh_gateway/control/leader_tasks.cpp
+++ b/modules/qh_gateway/control/leader_tasks.cpp
@@ -29,6 +29,8 @@
 constexpr int kLeaseTimeFactor = 2;
 // Smoothing factor of the prefill rates.
 constexpr double kRateSmoothingFactor = 0.3;
+// Reports kept in case that the store loses their records.
+constexpr size_t kKnownReports = 16;
 
 // Returns the settings of a lease that lasts `lease`.
 LeaseSettings SettingsFor(Duration lease) {
@@ -66,6 +68,11 @@
   }
 }
 
+// Returns the name of the lease object with the key `key`, without its kind.
+std::string LeaseObjectName(const std::string& key) {
+  return key.substr(key.find('/') + 1);
+}
+
 // Returns the name of the stored object that holds the report of `window`.
 std::string ReportName(int64_t window) {
   return "window-" + std::to_string(window);
@@ -104,8 +111,14 @@
                            std::move(incarnation),
                            SettingsFor(kLeaseTimeFactor * state.settings.lease),
                            seed)),
-      store_(HttpClient::Create(state.io, state.settings.store_address)),
+      store_(state.io,
+             state.settings.store_address,
+             state.codec.store,
+             state.store_epoch),
       capacity_planner_(CapacityPlanner::Settings{}) {
+  if (!state.settings.first_start) {
+    lease_.BarClaims(BootNow() + lease_.settings().duration);
+  }
   if (state_.settings.cloud_address) {
     cloud_ = HttpClient::Create(state_.io, *state_.settings.cloud_address);
   }
@@ -113,12 +126,32 @@
 
 void LeaderTasks::Stop() {
   stopped_ = true;
-  store_->Stop();
+  store_.Reset();
   if (cloud_ != nullptr) {
     cloud_->Stop();
   }
 }
 
+void LeaderTasks::OnStoreEpoch(uint64_t epoch, bool restored) {
+  if (!restored) {
+    lease_.SetStoreEpoch(epoch);
+    return;
+  }
+  store_.Reset();
+  report_step_ = ReportStep::kNone;
+  restored_at_ = state_.wall_clock.Now(MonotonicNow());
+  RunLease(lease_.Advance(
+      {.kind = LeaseEventKind::kStoreRestored, .store_epoch = epoch},
+      BootNow()));
+}
+
+void LeaderTasks::OnPeerReported(int64_t window) {
+  const Duration wall = state_.wall_clock.Now(MonotonicNow());
+  if (window < state_.usage.WindowOf(wall)) {
+    reported_window_ = std::max(reported_window_, window);
+  }
+}
+
 void LeaderTasks::SetPeerPrefillRates(std::map<std::string, double> rates) {
   peer_prefill_rates_ = std::move(rates);
 }
@@ -176,32 +209,33 @@
 void LeaderTasks::SendLeaseCall(const LeaseAction& action) {
   const StoreProtocol& protocol = state_.codec.store;
   const StoreRequest& request = action.request;
-  StoredObject object{.name = kShard, .content = request.body};
+  StoredObject object{.name = LeaseObjectName(request.key),
+                      .content = request.body};
   HttpCall call;
   if (request.op == StoreOp::kGet) {
-    call = protocol.get(kLeaseKind, kShard);
+    call = protocol.get(kLeaseKind, object.name);
   } else if (request.expected_version == kAbsentVersion) {
     call = protocol.create(kLeaseKind, object);
   } else {
     object.revision = request.expected_version.value_or(0);
     call = protocol.replace(kLeaseKind, object);
   }
-  store_->Send(std::move(call), kCallTimeout,
-               [this, token = action.token](const CallReply& reply) {
-                 LeaseEvent event{.kind = LeaseEventKind::kReply,
-                                  .token = token};
-                 event.reply.status = StatusOf(reply);
-                 if (event.reply.status == StoreStatus::kOk) {
-                   const auto read = state_.codec.store.read_object(reply.body);
-                   if (read) {
-                     event.reply.object.version = read.value().revision;
-                     event.reply.object.body = read.value().content;
-                   } else {
-                     event.reply.status = StoreStatus::kAmbiguous;
-                   }
-                 }
-                 RunLease(lease_.Advance(event, BootNow()));
-               });
+  store_.Send(std::move(call), kCallTimeout,
+              [this, token = action.token](const CallReply& reply) {
+                LeaseEvent event{.kind = LeaseEventKind::kReply,
+                                 .token = token};
+                event.reply.status = StatusOf(reply);
+                if (event.reply.status == StoreStatus::kOk) {
+                  const auto read = state_.codec.store.read_object(reply.body);
+                  if (read) {
+                    event.reply.object.version = read.value().revision;
+                    event.reply.object.body = read.value().content;
+                  } else {
+                    event.reply.status = StoreStatus::kAmbiguous;
+                  }
+                }
+                RunLease(lease_.Advance(event, BootNow()));
+              });
 }
 
 bool LeaderTasks::MayAct() const {
@@ -227,7 +261,8 @@
     // Starts with the oldest window that is not overdue, because an earlier
     // holder may have left windows unreported.
     const Duration oldest = wall - state_.settings.usage_due;
-    next_window_ = state_.usage.WindowOf(oldest);
+    next_window_ =
+        std::max(state_.usage.WindowOf(oldest), reported_window_ + 1);
   }
   if (now < reports_delayed_until_) {
     return;
@@ -244,14 +279,26 @@
   }
 }
 
+bool LeaderTasks::MayHaveLostRecord(int64_t window) const {
+  return restored_at_ && !known_reports_.contains(window) &&
+         state_.usage.EndOf(window) + kSettleTime < *restored_at_;
+}
+
 void LeaderTasks::RecordReport(int64_t window) {
   report_step_ = ReportStep::kRecording;
-  report_ = {.window = window, .requests = state_.usage.Total(window)};
-  store_->Send(state_.codec.store.create(kReportKind,
-                                         {.name = ReportName(window),
-                                          .content = ReportContent(report_)}),
-               kCallTimeout,
-               [this](const CallReply& reply) { OnReportRecorded(reply); });
+  report_ = {.window = window};
+  if (MayHaveLostRecord(window)) {
+    FetchRecordedReport();
+    return;
+  }
+  const auto known = known_reports_.find(window);
+  report_.requests = known == known_reports_.end() ? state_.usage.Total(window)
+                                                   : known->second.requests;
+  store_.Send(state_.codec.store.create(kReportKind,
+                                        {.name = ReportName(window),
+                                         .content = ReportContent(report_)}),
+              kCallTimeout,
+              [this](const CallReply& reply) { OnReportRecorded(reply); });
 }
 
 void LeaderTasks::OnReportRecorded(const CallReply& reply) {
@@ -272,19 +319,39 @@
     FetchRecordedReport();
     return;
   }
-  report_step_ = ReportStep::kRecorded;
+  OnReportKnown();
   if (MayAct()) {
     SendReport();
   }
 }
 
+void LeaderTasks::OnReportKnown() {
+  report_step_ = ReportStep::kRecorded;
+  known_reports_[report_.window] = report_;
+  while (known_reports_.size() > kKnownReports) {
+    known_reports_.erase(known_reports_.begin());
+  }
+}
+
 void LeaderTasks::FetchRecordedReport() {
-  store_->Send(
+  store_.Send(
       state_.codec.store.get(kReportKind, ReportName(report_.window)),
       kCallTimeout, [this](const CallReply& reply) {
         if (report_step_ != ReportStep::kRecording) {
           return;
         }
+        const bool absent = reply.outcome == HttpCallOutcome::kAnswered &&
+                            reply.status == kNotFound;
+        if (absent && MayHaveLostRecord(report_.window)) {
+          // An earlier leader may have sent other counts than this node has.
+          state_.log.Write(LogLine(ToName(GatewayEvent::kLeaderCallFailed))
+                               .With("call", "usage")
+                               .With("window", report_.window)
+                               .With("why", "record lost by the store"),
+                           GatewayEvent::kLeaderCallFailed);
+          CloseReport();
+          return;
+        }
         const auto object =
             reply.outcome == HttpCallOutcome::kAnswered && reply.status == kOk
                 ? state_.codec.store.read_object(reply.body)
@@ -304,7 +371,7 @@
           return;
         }
         report_ = report.value();
-        report_step_ = ReportStep::kRecorded;
+        OnReportKnown();
       });
 }
 
@@ -340,6 +407,11 @@
     DelayReports();
     return;
   }
+  reported_window_ = std::max(reported_window_, report_.window);
+  CloseReport();
+}
+
+void LeaderTasks::CloseReport() {
   report_step_ = ReportStep::kNone;
   next_window_ = report_.window + 1;
 }
--- a/modules/qh_gateway/control/leader_tasks.h
+++ b/modules/qh_gateway/control/leader_tasks.h
@@ -2,7 +2,9 @@
 // reports each team's usage and orders backend servers. The leader holds a
 // lease in the store, and every call to the cloud carries the lease's fencing
 // number. The report of a window is written to the store before it is sent, so
-// that a retry, also by the next leader, sends the same counts.
+// that a retry, also by the next leader, sends the same counts. A store that
+// was restored from an older copy may have lost that record. The report is then
+// only sent by a leader that knows its counts or that none was sent.
 
 #ifndef QH_GATEWAY_CONTROL_LEADER_TASKS_H_
 #define QH_GATEWAY_CONTROL_LEADER_TASKS_H_
@@ -13,6 +15,7 @@
 #include <set>
 #include <string>
 
+#include "qh_gateway/control/store_connection.h"
 #include "qh_gateway/decisions/capacity_planner.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 #include "qh_net/http_client.h"
@@ -48,6 +51,13 @@
   // Sets the sum of the peers' prefill rates by service, in prompt tokens per
   // millisecond.
   void SetPeerPrefillRates(std::map<std::string, double> rates);
+  // The store's epoch became known or rose; `restored` tells whether the store
+  // was restored from an older copy.
+  void OnStoreEpoch(uint64_t epoch, bool restored);
+  // A peer knows that every window up to `window` has been reported.
+  void OnPeerReported(int64_t window);
+  // The newest window that is known to be reported; zero if none is.
+  int64_t reported_window() const { return reported_window_; }
   // Drops the open calls without releasing the lease. Nothing is sent
   // afterwards.
   void Stop();
@@ -73,9 +83,17 @@
 
   // Reports windows one after the other, each once its counts are complete.
   void RunReports(TimePoint now, size_t unresponsive_peers);
-  // Writes the counts of `window` to the store.
+  // Writes the counts of `window` to the store, or reads those that an earlier
+  // leader wrote.
   void RecordReport(int64_t window);
+  // Whether an earlier leader may have sent a report of `window` whose record
+  // the store has lost.
+  bool MayHaveLostRecord(int64_t window) const;
+  // Continues with the next window.
+  void CloseReport();
   void OnReportRecorded(const CallReply& reply);
+  // The store holds `report_`, which may now be sent.
+  void OnReportKnown();
   // Reads a report that another leader wrote first; its counts are the ones to
   // send.
   void FetchRecordedReport();
@@ -96,7 +114,7 @@
 
   GatewayState& state_;
   Lease lease_;
-  std::shared_ptr<HttpClient> store_;
+  StoreConnection store_;
   std::shared_ptr<HttpClient> cloud_;
   bool is_leader_ = false;
   bool stopped_ = false;
@@ -107,6 +125,12 @@
   // The next window to report; empty until this leader has chosen its first.
   std::optional<int64_t> next_window_;
   TimePoint reports_delayed_until_;
+  int64_t reported_window_ = 0;
+  // Reports that this process has read from the store or written to it, by
+  // window; only the newest.
+  std::map<int64_t, UsageReport> known_reports_;
+  // Wall-clock time at which the last restore of the store was noticed.
+  std::optional<Duration> restored_at_;
 
   CapacityPlanner capacity_planner_;
   TimePoint last_planned_at_;
--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -9,7 +9,7 @@
 
 // Version of the encoding, raised when the meaning of a field changes. A node
 // rejects heartbeats of any other version.
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 
 Json OutstandingWorkToJson(const OutstandingWorkByServer& work) {
   Json list = Json::array();
@@ -40,6 +40,22 @@
   return object;
 }
 
+Json DeparturesToJson(const std::vector<ServerProcess>& departures) {
+  Json list = Json::array();
+  for (const ServerProcess& process : departures) {
+    list.push_back({process.id.value(), process.started_ms});
+  }
+  return list;
+}
+
+Json PausesToJson(const PausesByServer& pauses) {
+  Json object = Json::object();
+  for (const auto& [server, pause] : pauses) {
+    object[server.value()] = pause.count();
+  }
+  return object;
+}
+
 // Encodes an unknown time as null.
 Json AgoToJson(const std::optional<Duration>& ago) {
   return ago ? Json(ago->count()) : Json();
@@ -61,7 +77,18 @@
   heartbeat.draining = json.at("drain");
   heartbeat.caller_address = {json.at("host"), json.at("port")};
   heartbeat.config_version = json.at("config");
-  heartbeat.servers_revision = json.at("servers");
+  if (const Json& epoch = json.at("epoch"); !epoch.is_null()) {
+    heartbeat.store_epoch = epoch.get<uint64_t>();
+  }
+  heartbeat.servers_version = {json.at("servers").at(0),
+                               json.at("servers").at(1)};
+  for (const Json& entry : json.at("leaving")) {
+    heartbeat.departures.push_back({ServerId(entry.at(0)), entry.at(1)});
+  }
+  for (const auto& [server, pause] : json.at("paused").items()) {
+    heartbeat.pauses[ServerId(server)] = Duration(pause.get<int64_t>());
+  }
+  heartbeat.reported_window = json.at("reported");
   heartbeat.store_reachability = {AgoFromJson(json.at("answered")),
                                   AgoFromJson(json.at("returned"))};
   for (const Json& entry : json.at("open")) {
@@ -103,7 +130,12 @@
                   {"host", caller_address.host},
                   {"port", caller_address.port},
                   {"config", config_version},
-                  {"servers", servers_revision},
+                  {"epoch", store_epoch ? Json(*store_epoch) : Json()},
+                  {"servers", Json::array({servers_version.epoch,
+                                           servers_version.revision})},
+                  {"leaving", DeparturesToJson(departures)},
+                  {"paused", PausesToJson(pauses)},
+                  {"reported", reported_window},
                   {"answered", AgoToJson(store_reachability.answered_ago)},
                   {"returned", AgoToJson(store_reachability.recovered_ago)},
                   {"open", OutstandingWorkToJson(outstanding_work)},
--- a/modules/qh_gateway/control/peer_heartbeat.h
+++ b/modules/qh_gateway/control/peer_heartbeat.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,10 +14,13 @@
 #include "qh_core/errors/result.h"
 #include "qh_core/time/time.h"
 #include "qh_gateway/decisions/crash_tracker.h"
+#include "qh_gateway/decisions/server_departures.h"
 #include "qh_gateway/decisions/server_load.h"
+#include "qh_gateway/decisions/server_pauses.h"
 #include "qh_gateway/decisions/store_reachability.h"
 #include "qh_gateway/decisions/team_rate_limiter.h"
 #include "qh_gateway/decisions/usage_ledger.h"
+#include "qh_gateway/model/stored_object.h"
 
 namespace qh {
 
@@ -39,8 +43,16 @@
   Address caller_address;
   // Version of the sender's configuration; zero without one.
   uint64_t config_version = 0;
-  // The store's revision up to which the sender knows the servers.
-  uint64_t servers_revision = 0;
+  // The store's epoch; nullopt while the sender knows none.
+  std::optional<uint64_t> store_epoch;
+  // The version of the store up to which the sender knows the servers.
+  StoreVersion servers_version;
+  // Servers that announced lately that they leave.
+  std::vector<ServerProcess> departures;
+  // Pauses that servers asked the sender for.
+  PausesByServer pauses;
+  // The newest window whose usage the sender knows to be reported.
+  int64_t reported_window = 0;
   // When the store last answered the sender.
   StoreReachabilityReport store_reachability;
   // The sender's own requests in flight, by server.
--- a/modules/qh_gateway/control/store_watcher.cpp
+++ b/modules/qh_gateway/control/store_watcher.cpp
@@ -25,11 +25,12 @@
 StoreWatcher::StoreWatcher(boost::asio::io_context& io,
                            const Address& store,
                            const StoreProtocol& protocol,
+                           StoreEpoch& epoch,
                            std::string kind,
                            uint64_t seed,
                            Hooks hooks)
     : timer_(io),
-      client_(HttpClient::Create(io, store)),
+      connection_(io, store, protocol, epoch),
       protocol_(protocol),
       kind_(std::move(kind)),
       rng_(seed),
@@ -42,15 +43,25 @@
 void StoreWatcher::Stop() {
   stopped_ = true;
   timer_.cancel();
-  client_->Stop();
+  connection_.Reset();
+}
+
+void StoreWatcher::OnStoreRestored() {
+  if (stopped_) {
+    return;
+  }
+  connection_.Reset();
+  revision_ = 0;
+  RunAfter(rng_.Between(Duration::zero(), kMaxRetryDelay),
+           [this] { ListPage({}); });
 }
 
 void StoreWatcher::ListPage(const std::string& after) {
   if (after.empty()) {
     listed_objects_.clear();
   }
-  client_->Send(protocol_.list(kind_, after), kListTimeout,
-                [this](const CallReply& reply) { OnListReply(reply); });
+  connection_.Send(protocol_.list(kind_, after), kListTimeout,
+                   [this](const CallReply& reply) { OnListReply(reply); });
 }
 
 void StoreWatcher::OnListReply(const CallReply& reply) {
@@ -84,9 +95,9 @@
 
 void StoreWatcher::Watch() {
   const Duration wait = hooks_.watch_wait();
-  client_->Send(protocol_.watch(kind_, revision_, wait),
-                wait + kWatchTimeoutSlack,
-                [this](const CallReply& reply) { OnWatchReply(reply); });
+  connection_.Send(protocol_.watch(kind_, revision_, wait),
+                   wait + kWatchTimeoutSlack,
+                   [this](const CallReply& reply) { OnWatchReply(reply); });
 }
 
 void StoreWatcher::OnWatchReply(const CallReply& reply) {
--- a/modules/qh_gateway/control/store_watcher.h
+++ b/modules/qh_gateway/control/store_watcher.h
@@ -1,7 +1,7 @@
 // Follows one kind of objects in the store: lists all of them once, then asks
 // for changes by long polling. After a failed call the kind is listed again,
 // because the store may have dropped changes that the failed watch missed from
-// its history.
+// its history, and after the store was restored from an older copy.
 
 #ifndef QH_GATEWAY_CONTROL_STORE_WATCHER_H_
 #define QH_GATEWAY_CONTROL_STORE_WATCHER_H_
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "qh_core/random/rng.h"
+#include "qh_gateway/control/store_connection.h"
 #include "qh_gateway/model/stored_object.h"
-#include "qh_net/http_client.h"
 
 namespace qh {
 
@@ -55,11 +55,12 @@
     std::function<Duration()> batch_delay;
   };
 
-  // Watches `kind` in the store at `store`. `protocol` has to outlive the
-  // watcher; `seed` feeds the jitter of retries.
+  // Watches `kind` in the store at `store`. `protocol` and `epoch` have to
+  // outlive the watcher; `seed` feeds the jitter of retries.
   StoreWatcher(boost::asio::io_context& io,
                const Address& store,
                const StoreProtocol& protocol,
+               StoreEpoch& epoch,
                std::string kind,
                uint64_t seed,
                Hooks hooks);
@@ -68,6 +69,9 @@
   void Start();
   // Drops the open call; no hook is called after this.
   void Stop();
+  // The store was restored from an older copy: drops the open call, whose
+  // revision may have been given out again, and lists the kind anew.
+  void OnStoreRestored();
 
   const std::string& kind() const { return kind_; }
   // The store's revision of the objects reported so far; zero before the first
@@ -87,7 +91,7 @@
   void RunAfter(Duration delay, std::function<void()> step);
 
   boost::asio::steady_timer timer_;
-  std::shared_ptr<HttpClient> client_;
+  StoreConnection connection_;
   const StoreProtocol& protocol_;
   std::string kind_;
   Rng rng_;
--- a/modules/qh_gateway/decisions/event_splitter.cpp
+++ b/modules/qh_gateway/decisions/event_splitter.cpp
@@ -1,11 +1,14 @@
 #include "qh_gateway/decisions/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace qh {
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+// Bytes of "\n\r\n".
+constexpr size_t kLongestEventEnd = 3;
 
 // Returns the event's id, or an empty text if it has none.
 std::string_view EventId(std::string_view event) {
@@ -60,10 +63,14 @@
 }  // namespace
 
 std::string EventSplitter::Feed(std::string_view bytes) {
+  // The bytes held hold no end of an event, but the last of them may belong to
+  // one.
+  const size_t searched =
+      partial_.size() - std::min(partial_.size(), kLongestEventEnd - 1);
   partial_.append(bytes);
   std::string complete;
   size_t begin = 0;
-  for (size_t end = EventEnd(partial_, begin); end != std::string::npos;
+  for (size_t end = EventEnd(partial_, searched); end != std::string::npos;
        end = EventEnd(partial_, begin)) {
     AddEvent(std::string_view(partial_).substr(begin, end - begin), complete);
     begin = end;
--- a/modules/qh_gateway/decisions/event_splitter.h
+++ b/modules/qh_gateway/decisions/event_splitter.h
@@ -17,6 +17,8 @@
 
   // Whether bytes of an incomplete event are held.
   bool has_partial() const { return !partial_.empty(); }
+  // Size of that incomplete event, in bytes.
+  size_t partial_size() const { return partial_.size(); }
   // Id of the last event that was returned; empty if none had an id.
   const std::string& last_id() const { return last_id_; }
   // Number of events that were returned.
--- a/modules/qh_gateway/decisions/node_table.cpp
+++ b/modules/qh_gateway/decisions/node_table.cpp
@@ -63,10 +63,11 @@
   return std::nullopt;
 }
 
-std::optional<Address> NodeTable::PeerWithServersAfter(uint64_t revision,
-                                                       TimePoint now) const {
+std::optional<Address> NodeTable::PeerWithServersAfter(
+    const StoreVersion& version,
+    TimePoint now) const {
   for (const auto& [node, entry] : nodes_) {
-    if (IsResponsive(entry, now) && entry.state.servers_revision > revision) {
+    if (IsResponsive(entry, now) && entry.state.servers_version > version) {
       return entry.peers;
     }
   }
--- a/modules/qh_gateway/decisions/node_table.h
+++ b/modules/qh_gateway/decisions/node_table.h
@@ -12,6 +12,7 @@
 
 #include "qh_core/address/address.h"
 #include "qh_core/time/time.h"
+#include "qh_gateway/model/stored_object.h"
 
 namespace qh {
 
@@ -26,8 +27,8 @@
   bool draining = false;
   // Version of the configuration that the node uses.
   uint64_t config_version = 0;
-  // The store's revision up to which the node knows the backend servers.
-  uint64_t servers_revision = 0;
+  // The version of the store up to which the node knows the backend servers.
+  StoreVersion servers_version;
 };
 
 class NodeTable {
@@ -63,8 +64,8 @@
   std::optional<Address> PeerWithConfigAfter(uint64_t version,
                                              TimePoint now) const;
   // Returns the address of a responsive peer that knows the servers up to a
-  // later revision than `revision`, if there is one.
-  std::optional<Address> PeerWithServersAfter(uint64_t revision,
+  // later version of the store than `version`, if there is one.
+  std::optional<Address> PeerWithServersAfter(const StoreVersion& version,
                                               TimePoint now) const;
   // Returns the number of peers that are not gone.
   size_t KnownCount(TimePoint now) const;
--- a/modules/qh_gateway/decisions/server_directory.cpp
+++ b/modules/qh_gateway/decisions/server_directory.cpp
@@ -4,15 +4,17 @@
 
 namespace qh {
 
-ServerDirectory::ServerDirectory(Hook on_change)
-    : on_change_(std::move(on_change)) {}
+ServerDirectory::ServerDirectory(Hook on_change, Duration expiry)
+    : on_change_(std::move(on_change)), expiry_(expiry) {}
 
 void ServerDirectory::OnList(const std::vector<ServerRecord>& servers,
-                             bool keep_missing) {
+                             bool keep_missing,
+                             TimePoint now) {
   std::set<ServerId> listed;
+  withheld_.clear();
   for (const ServerRecord& server : servers) {
     listed.insert(server.id);
-    OnServer(server);
+    OnServer(server, now);
   }
   std::vector<ServerId> missing;
   for (const auto& [id, entry] : servers_) {
@@ -21,11 +23,34 @@
     }
   }
   for (const ServerId& id : missing) {
-    OnRemoved(id, keep_missing);
+    OnRemoved(id, keep_missing, now);
   }
 }
 
-void ServerDirectory::OnServer(const ServerRecord& server) {
+bool ServerDirectory::IsDoubtful(const ServerRecord& server,
+                                 TimePoint now) const {
+  if (!doubtful_until_ || now >= *doubtful_until_) {
+    return false;
+  }
+  const auto known = servers_.find(server.id);
+  return known != servers_.end()
+             ? server.started_ms < known->second.record.started_ms
+             : departures_.WasRemoved({server.id, server.started_ms});
+}
+
+void ServerDirectory::OnServer(const ServerRecord& registered, TimePoint now) {
+  if (IsDoubtful(registered, now)) {
+    withheld_[registered.id] = registered;
+    return;
+  }
+  withheld_.erase(registered.id);
+  ServerRecord server = registered;
+  const ServerProcess process{server.id, server.started_ms};
+  departures_.OnReturned(process);
+  if (server.draining) {
+    departures_.OnAnnounced(process, now);
+  }
+  server.draining = departures_.HasAnnounced(process);
   const auto found = servers_.find(server.id);
   if (found == servers_.end()) {
     servers_[server.id] = {.record = server};
@@ -46,14 +71,17 @@
   }
 }
 
-void ServerDirectory::OnRemoved(const ServerId& id, bool keep_missing) {
+void ServerDirectory::OnRemoved(const ServerId& id,
+                                bool keep_missing,
+                                TimePoint now) {
+  withheld_.erase(id);
   const auto found = servers_.find(id);
   if (found == servers_.end()) {
     return;
   }
   Entry& entry = found->second;
   if (entry.record.draining || !keep_missing) {
-    Drop(id);
+    Drop(id, now);
     return;
   }
   if (!std::exchange(entry.missing, true)) {
@@ -61,7 +89,33 @@
   }
 }
 
-void ServerDirectory::OnTick(bool keep_missing) {
+bool ServerDirectory::OnLeaving(const ServerProcess& process, TimePoint now) {
+  if (!departures_.OnAnnounced(process, now)) {
+    return false;
+  }
+  const auto found = servers_.find(process.id);
+  if (found == servers_.end()) {
+    return true;
+  }
+  ServerRecord& record = found->second.record;
+  if (record.started_ms == process.started_ms && !record.draining) {
+    record.draining = true;
+    on_change_(ServerChange::kDraining, record);
+  }
+  return true;
+}
+
+void ServerDirectory::OnStoreRestored(TimePoint now) {
+  doubtful_until_ = now + expiry_;
+}
+
+void ServerDirectory::OnTick(bool keep_missing, TimePoint now) {
+  if (doubtful_until_ && now >= *doubtful_until_) {
+    doubtful_until_.reset();
+    for (const auto& [id, server] : std::exchange(withheld_, {})) {
+      OnServer(server, now);
+    }
+  }
   if (keep_missing) {
     return;
   }
@@ -72,14 +126,15 @@
     }
   }
   for (const ServerId& id : lapsed) {
-    Drop(id);
+    Drop(id, now);
   }
 }
 
-void ServerDirectory::Drop(const ServerId& id) {
+void ServerDirectory::Drop(const ServerId& id, TimePoint now) {
   const auto found = servers_.find(id);
   const ServerRecord record = found->second.record;
   servers_.erase(found);
+  departures_.OnRemoved({id, record.started_ms}, now);
   on_change_(ServerChange::kGone, record);
 }
 
--- a/modules/qh_gateway/decisions/server_picker.cpp
+++ b/modules/qh_gateway/decisions/server_picker.cpp
@@ -29,6 +29,11 @@
 constexpr double kRecomputePenaltyMs = 12;
 // Penalty for a server with a failure share of 1; smaller shares in proportion.
 constexpr double kFailurePenaltyMs = 2'000;
+// Penalty for a server that asked a peer for a pause.
+constexpr double kPeerPausePenaltyMs = 200;
+// Refusals while all servers are paused are spread over the pause and this
+// share of it beyond, so that the callers don't return together.
+constexpr double kPauseSpread = 0.5;
 // Plain services: expected wait for each request in flight per slot.
 constexpr double kServiceMsPerOpenRequest = 40;
 // Plain services: penalty for a server in another failure domain than the node.
@@ -56,14 +61,36 @@
   return found == prefill_rates_.end() ? kInitialPrefillRate : found->second;
 }
 
-std::vector<const ServerRecord*> ServerPicker::EligibleServers(
+double ServerPicker::PeerPausePenalty(const ServerId& server,
+                                      TimePoint now) const {
+  return pauses_.PausedForPeer(server, now) ? kPeerPausePenaltyMs : 0;
+}
+
+Error ServerPicker::PausedError(const PickQuery& query, Duration shortest) {
+  return Error(ErrorKind::kOverloaded,
+               "every server of " + query.service->name + " asked for a pause")
+      .WithRetryAfter(FromSeconds(ToSeconds(shortest) *
+                                  (1 + kPauseSpread * rng_.Uniform())));
+}
+
+Result<std::vector<const ServerRecord*>> ServerPicker::EligibleServers(
     const PickQuery& query,
     TimePoint now) {
   std::vector<const ServerRecord*> usable =
       directory_.Usable(query.service->name);
+  std::optional<Duration> shortest_pause;
   std::erase_if(usable, [&](const ServerRecord* server) {
-    return query.tried_servers.contains(server->id);
+    const auto pause = pauses_.Remaining(server->id, now);
+    if (pause) {
+      shortest_pause = std::min(*pause, shortest_pause.value_or(*pause));
+    }
+    return pause || query.tried_servers.contains(server->id);
   });
+  if (usable.empty()) {
+    return shortest_pause ? PausedError(query, *shortest_pause)
+                          : Error(ErrorKind::kNoServer,
+                                  "no usable server of " + query.service->name);
+  }
   std::vector<const ServerRecord*> healthy;
   for (const ServerRecord* server : usable) {
     if (!outliers_.IsEjected(server->id, now)) {
@@ -101,7 +128,8 @@
   }
   candidate.score = candidate.expected_ttfb_ms +
                     kRecomputePenaltyMs * candidate.prefill_tokens / 1'000 +
-                    kFailurePenaltyMs * outliers_.FailureShare(server.id, now);
+                    kFailurePenaltyMs * outliers_.FailureShare(server.id, now) +
+                    PeerPausePenalty(server.id, now);
   return candidate;
 }
 
@@ -115,16 +143,13 @@
   candidate.score =
       kServiceMsPerOpenRequest * per_slot +
       kFailurePenaltyMs * outliers_.FailureShare(server.id, now) +
+      PeerPausePenalty(server.id, now) +
       (server.failure_domain == own_domain_ ? 0 : kOtherDomainPenaltyMs);
   return candidate;
 }
 
 Result<ServerPick> ServerPicker::Choose(const PickQuery& query, TimePoint now) {
-  const auto servers = EligibleServers(query, now);
-  if (servers.empty()) {
-    return Error(ErrorKind::kNoServer,
-                 "no usable server of " + query.service->name);
-  }
+  BOOST_OUTCOME_TRY(servers, EligibleServers(query, now));
   const bool engine = query.service->engine.has_value();
   const auto& parts = query.request->prompt_parts;
   const auto prefixes = PrefixCacheEstimate::HashPrefixes(parts);
@@ -245,6 +270,16 @@
   return outliers_.OnAttemptEnded(server, AttemptOutcome::kUnreachable, now);
 }
 
+void ServerPicker::OnPauseAsked(const ServerId& server,
+                                Duration pause,
+                                TimePoint now) {
+  pauses_.OnAsked(server, pause, now);
+}
+
+bool ServerPicker::IsPaused(const ServerId& server, TimePoint now) const {
+  return pauses_.Remaining(server, now).has_value();
+}
+
 void ServerPicker::ResetServer(const ServerId& server) {
   outliers_.Reset(server);
   prefix_cache_.Invalidate(server);
@@ -252,6 +287,7 @@
 
 void ServerPicker::OnTick(TimePoint now) {
   load_.OnTick(now);
+  pauses_.OnTick(now);
 }
 
 }  // namespace qh
--- a/modules/qh_gateway/decisions/server_picker.h
+++ b/modules/qh_gateway/decisions/server_picker.h
@@ -29,6 +29,7 @@
 #include "qh_gateway/decisions/prefix_cache_estimate.h"
 #include "qh_gateway/decisions/server_directory.h"
 #include "qh_gateway/decisions/server_load.h"
+#include "qh_gateway/decisions/server_pauses.h"
 #include "qh_gateway/model/caller_request.h"
 #include "qh_gateway/model/service_config.h"
 
@@ -102,12 +103,17 @@
   // No connection to the server could be made, so nothing was sent. Returns
   // whether the server was ejected.
   bool OnUnreachable(const ServerId& server, TimePoint now);
+  // The server refused a request of this node and asked for a pause.
+  void OnPauseAsked(const ServerId& server, Duration pause, TimePoint now);
+  // Whether this node may send the server nothing at `now`.
+  bool IsPaused(const ServerId& server, TimePoint now) const;
   // Forgets the server's failures and cached prefixes, e.g. because its process
   // restarted.
   void ResetServer(const ServerId& server);
   // Drops outdated reports of peers.
   void OnTick(TimePoint now);
 
+  ServerPauses& pauses() { return pauses_; }
   ServerLoad& load() { return load_; }
   const ServerLoad& load() const { return load_; }
   // Returns the measured prefill rate of the engines of `service`, in tokens
@@ -125,10 +131,16 @@
     OutstandingWork outstanding;
   };
 
-  // Returns the servers to compare: not tried, not ejected if possible, at most
-  // kMaxCandidates.
-  std::vector<const ServerRecord*> EligibleServers(const PickQuery& query,
-                                                   TimePoint now);
+  // Returns the servers to compare: not tried, not paused, not ejected if
+  // possible, at most kMaxCandidates. Fails like Choose when there are none.
+  Result<std::vector<const ServerRecord*>> EligibleServers(
+      const PickQuery& query,
+      TimePoint now);
+  // Returns the penalty in the score of a server that asked a peer for a pause.
+  double PeerPausePenalty(const ServerId& server, TimePoint now) const;
+  // Returns the refusal for a request whose servers are all paused, the first
+  // one for `shortest` more.
+  Error PausedError(const PickQuery& query, Duration shortest);
   // Estimate the wait and the score of a server. `prefixes` are the hashes of
   // the prompt's prefixes.
   Candidate AssessEngine(const ServerRecord& server,
@@ -147,6 +159,7 @@
   Rng rng_;
   ServerLoad load_;
   OutlierDetector outliers_;
+  ServerPauses pauses_;
   PrefixCacheEstimate prefix_cache_;
   // Exponential average of the prefill rate in tokens per millisecond, by
   // service.
--- a/modules/qh_gateway/decisions/server_snapshot.h
+++ b/modules/qh_gateway/decisions/server_snapshot.h
@@ -18,6 +18,12 @@
 
 namespace qh {
 
+// A peer's snapshot.
+struct DecodedSnapshot {
+  StoreVersion version;
+  std::vector<StoredObject> objects;
+};
+
 class ServerSnapshot {
  public:
   // A complete list, from the store or from a peer's newer snapshot, replaces
@@ -27,25 +33,26 @@
   void OnObject(const StoredObject& object);
   // A registration was removed or became unreadable.
   void OnRemoved(const std::string& name);
-  // The registrations are complete up to the store's `revision`. Earlier
-  // revisions are ignored.
-  void OnConfirmed(uint64_t revision);
+  // The registrations are complete up to `version` of the store. Earlier
+  // versions are ignored.
+  void OnConfirmed(const StoreVersion& version);
 
-  // The store's revision up to which the registrations are complete; zero at
-  // first.
-  uint64_t revision() const { return revision_; }
+  // The version of the store up to which the registrations are complete; its
+  // revision is zero at first.
+  const StoreVersion& version() const { return version_; }
 
   // Encodes the snapshot for a peer.
   std::string Encode() const;
   // Decodes a peer's snapshot. Returns nullopt unless it is newer than this
   // one. Fails with kPeerMalformed.
-  Result<std::optional<ObjectPage>> ReadNewer(const std::string& encoded) const;
+  Result<std::optional<DecodedSnapshot>> ReadNewer(
+      const std::string& encoded) const;
 
  private:
   // Content of each registration, by name.
   std::map<std::string, std::string> contents_;
   // Never decreases.
-  uint64_t revision_ = 0;
+  StoreVersion version_;
 };
 
 }  // namespace qh
--- a/modules/qh_gateway/decisions/store_reachability.h
+++ b/modules/qh_gateway/decisions/store_reachability.h
@@ -38,6 +38,9 @@
   // The store answered a call of this node, or a call failed.
   void OnAnswer(TimePoint now);
   void OnFailure(TimePoint now);
+  // The store was restored from an older copy, which ends an outage even if
+  // this node noticed none.
+  void OnRestored(TimePoint now) { recovered_ = now; }
   // A peer's report arrived.
   void OnPeer(const std::string& node,
               const StoreReachabilityReport& report,
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -23,6 +23,9 @@
 constexpr auto kMinAttemptTime = std::chrono::milliseconds(15);
 constexpr auto kMinRetryAfter = std::chrono::milliseconds(50);
 constexpr auto kNoServerRetryAfter = std::chrono::milliseconds(400);
+// Most bytes of one answer, or of one event, that the gateway holds until it is
+// complete. A faulty server may send bytes without end.
+constexpr size_t kMaxHeldBytes = size_t{4} << 20U;
 // Priorities sent to engines are 0 (most urgent) to 9.
 constexpr int kMaxPriority = 9;
 // Lower bound on the connections of a node to one server; fewer would limit its
@@ -123,10 +126,13 @@
   }
   if (connection != nullptr) {
     const ServerRecord* server = state_.directory.Find(pick.server);
-    if (server == nullptr || server->draining) {
-      // The server left or started to drain while the node connected to it.
+    const bool left = server == nullptr || server->draining;
+    if (left || state_.picker.IsPaused(pick.server, now)) {
+      // The server left, or asked for a pause, while the node connected to it.
       state_.connection_pool.Release(connection, now);
-      state_.connection_pool.CloseIdle(pick.server);
+      if (left) {
+        state_.connection_pool.CloseIdle(pick.server);
+      }
       tried_servers_.insert(pick.server);
       StartAttempt();
       return;
@@ -160,6 +166,8 @@
     return;
   }
   pick_ = pick;
+  const ServerRecord* server = state_.directory.Find(pick.server);
+  process_ = {pick.server, server == nullptr ? 0 : server->started_ms};
   connection_ = connection;
   attempt_started_ = now;
   time_to_first_byte_.reset();
@@ -263,6 +271,9 @@
   answer_head_ = head;
   has_answer_head_ = true;
   buffered_body_.clear();
+  if (!traits.wrong_server) {
+    state_.OnServerAnswer(process_, traits);
+  }
   if (traits.encoded) {
     connection_->Close();
     OnAttemptFailed(AttemptOutcome::kBroken, "answer has a content encoding");
@@ -311,9 +322,18 @@
 void Exchange::OnBody(const std::string& bytes) {
   if (!streaming_answer()) {
     buffered_body_ += bytes;
+  }
+  const std::string events =
+      streaming_answer() ? event_splitter_.Feed(bytes) : std::string();
+  if (buffered_body_.size() > kMaxHeldBytes ||
+      event_splitter_.partial_size() > kMaxHeldBytes) {
+    connection_->Close();
+    buffered_body_.clear();
+    OnAttemptFailed(AttemptOutcome::kBroken,
+                    "the server sends without end: no complete answer within " +
+                        std::to_string(kMaxHeldBytes) + " bytes");
     return;
   }
-  const std::string events = event_splitter_.Feed(bytes);
   if (events.empty()) {
     return;
   }
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -133,6 +133,8 @@
   ServerConnectionPtr connection_;
   // The last server that the request was sent to.
   std::optional<ServerPick> pick_;
+  // The process of that server.
+  ServerProcess process_;
   TimePoint attempt_started_;
   // From the start of the attempt to the first complete event of a stream, or
   // the head of any other answer.
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -1,6 +1,13 @@
 #include "qh_gateway/forwarding/gateway_state.h"
 
 namespace qh {
+namespace {
+
+// The store drops a registration that was not renewed for three intervals; one
+// more covers the time until the node learns of it.
+constexpr int kHeartbeatsToExpiry = 4;
+
+}  // namespace
 
 GatewayState::GatewayState(boost::asio::io_context& io_context,
                            const WireCodec& wire_codec,
@@ -10,9 +17,16 @@
     : io(io_context),
       codec(wire_codec),
       settings(gateway_settings),
-      directory([this](ServerChange change, const ServerRecord& server) {
-        OnServerChange(change, server);
+      store_epoch([this](uint64_t epoch, bool restored) {
+        if (on_store_epoch) {
+          on_store_epoch(epoch, restored);
+        }
       }),
+      directory(
+          [this](ServerChange change, const ServerRecord& server) {
+            OnServerChange(change, server);
+          },
+          kHeartbeatsToExpiry * settings.server_heartbeat),
       picker(directory, settings.failure_domain, seed),
       connection_pool(io, codec),
       team_rate_limiter({.window = settings.limit_window,
@@ -41,6 +55,22 @@
   return true;
 }
 
+void GatewayState::OnServerAnswer(const ServerProcess& process,
+                                  const AnswerTraits& traits) {
+  const TimePoint now = MonotonicNow();
+  if (traits.leaving) {
+    directory.OnLeaving(process, now);
+  }
+  if (!traits.pause) {
+    return;
+  }
+  picker.OnPauseAsked(process.id, *traits.pause, now);
+  log.Write(LogLine(ToName(GatewayEvent::kServerPaused))
+                .With("server", process.id.value())
+                .With("asked_ms", ToMilliseconds(*traits.pause)),
+            GatewayEvent::kServerPaused);
+}
+
 void GatewayState::OnServerChange(ServerChange change,
                                   const ServerRecord& server) {
   log.Write(
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -14,6 +14,7 @@
 #include "qh_gateway/decisions/server_directory.h"
 #include "qh_gateway/decisions/server_picker.h"
 #include "qh_gateway/decisions/service_retry_budget.h"
+#include "qh_gateway/decisions/store_epoch.h"
 #include "qh_gateway/decisions/team_rate_limiter.h"
 #include "qh_gateway/decisions/usage_ledger.h"
 #include "qh_gateway/decisions/wall_clock.h"
@@ -35,6 +36,9 @@
   // Returns whether it did.
   bool ApplyConfig(ServiceConfigPtr newer, TimePoint now);
 
+  // A server's answer arrived: notes what the server says of itself.
+  void OnServerAnswer(const ServerProcess& process, const AnswerTraits& traits);
+
   // Number of nodes that share the deployment's budgets, including this one.
   size_t node_count() const { return peer_count + 1; }
 
@@ -50,6 +54,10 @@
   // When the store or a peer last confirmed the server list.
   std::optional<TimePoint> servers_confirmed_at;
 
+  StoreEpoch store_epoch;
+  // Called when the store's epoch becomes known or rises, and with whether the
+  // store was restored from an older copy.
+  std::function<void(uint64_t epoch, bool restored)> on_store_epoch;
   ServerDirectory directory;
   ServerPicker picker;
   ServerConnectionPool connection_pool;
--- a/modules/qh_gateway/model/caller_request.h
+++ b/modules/qh_gateway/model/caller_request.h
@@ -90,6 +90,11 @@
   // How long the server keeps the connection open while it is idle; nullopt
   // when not stated.
   std::optional<Duration> idle_limit;
+  // The server announces that it leaves.
+  bool leaving = false;
+  // The server refused the request for lack of capacity and asks the gateway to
+  // send it nothing for this time.
+  std::optional<Duration> pause;
   // The body has a content encoding, which an intermediary between the server
   // and the gateway must have applied.
   bool encoded = false;
--- a/modules/qh_gateway/model/stored_object.h
+++ b/modules/qh_gateway/model/stored_object.h
@@ -5,6 +5,7 @@
 #ifndef QH_GATEWAY_MODEL_STORED_OBJECT_H_
 #define QH_GATEWAY_MODEL_STORED_OBJECT_H_
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -16,6 +17,16 @@
 
 namespace qh {
 
+// A state of the store. Revisions only compare within one epoch: when the store
+// is restored from an older copy, its epoch rises by one and the revisions
+// since that copy are given out again.
+struct StoreVersion {
+  uint64_t epoch = 0;
+  uint64_t revision = 0;
+
+  friend auto operator<=>(const StoreVersion&, const StoreVersion&) = default;
+};
+
 struct StoredObject {
   std::string name;
   // The store's revision at the object's last change.
@@ -59,6 +70,10 @@
   std::function<Result<ObjectPage>(const std::string& body)> read_list;
   std::function<Result<ObjectPage>(const std::string& body)> read_events;
   std::function<Result<StoredObject>(const std::string& body)> read_object;
+  // Returns the epoch that a reply states, or nullopt if it states none. Fails
+  // with kPeerMalformed.
+  std::function<Result<std::optional<uint64_t>>(const CallReply& reply)>
+      read_epoch;
 };
 
 }  // namespace qh
--- a/modules/qh_net/http_client.cpp
+++ b/modules/qh_net/http_client.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr ParserLimits kAnswerLimits = {.header_bytes = 32U << 10U,
-                                        .body_bytes = 64U << 20U};
+                                        .body_bytes = 16U << 20U};
 
 std::string Serialize(const HttpCall& call, const Address& address) {
   std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
@@ -158,7 +158,8 @@
   if (parser_.done()) {
     CallReply reply{.outcome = HttpCallOutcome::kAnswered,
                     .status = parser_.head().status,
-                    .body = parser_.TakeBody()};
+                    .body = parser_.TakeBody(),
+                    .fields = parser_.head().fields};
     const bool keep =
         parser_.keep_alive() && !parser_.has_surplus() && bool(parser_.Next());
     if (!keep) {
@@ -175,12 +176,17 @@
   const bool complete = bool(parser_.FeedEnd()) && parser_.head_done();
   const int status = complete ? parser_.head().status : 0;
   std::string body = complete ? parser_.TakeBody() : std::string();
+  std::vector<HttpField> fields =
+      complete ? parser_.head().fields : std::vector<HttpField>();
   CloseSocket();
   if (!busy_) {
     return;
   }
   if (complete) {
-    Finish({HttpCallOutcome::kAnswered, status, std::move(body)});
+    Finish({.outcome = HttpCallOutcome::kAnswered,
+            .status = status,
+            .body = std::move(body),
+            .fields = std::move(fields)});
     return;
   }
   Finish({.outcome =
--- a/modules/qh_net/http_client.h
+++ b/modules/qh_net/http_client.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "qh_core/time/time.h"
 #include "qh_net/http_parser.h"
@@ -43,9 +44,10 @@
 
 struct CallReply {
   HttpCallOutcome outcome = HttpCallOutcome::kNotSent;
-  // Status and body of the answer; only set with kAnswered.
+  // Status, body and header fields of the answer; only set with kAnswered.
   int status = 0;
   std::string body;
+  std::vector<HttpField> fields;
 };
 
 // Not thread safe; all methods and hooks run on the io_context's thread.
--- a/modules/qh_platform/lease/lease.cpp
+++ b/modules/qh_platform/lease/lease.cpp
@@ -98,10 +98,36 @@
     case LeaseEventKind::kTick:
       OnTick(now, actions);
       break;
+    case LeaseEventKind::kStoreRestored:
+      SetStoreEpoch(event.store_epoch);
+      OnStoreRestored(now, actions);
+      break;
   }
   return actions;
 }
 
+void Lease::SetStoreEpoch(uint64_t epoch) {
+  store_epoch_ = epoch;
+  fencing_floor_ = std::max(fencing_floor_, epoch * kFencingPerEpoch);
+}
+
+void Lease::OnStoreRestored(TimePoint now, Actions& actions) {
+  if (InHeldState()) {
+    reclaim_until_ = usable_until_;
+  }
+  claims_barred_until_ = now + settings_.duration;
+  // A reply to an earlier call is about the lease object of an earlier epoch.
+  in_flight_ = false;
+  version_ = kAbsentVersion;
+  observed_since_.reset();
+  exclusive_since_.reset();
+  Transition(LeaseStep::kRestored, now, actions);
+}
+
+bool Lease::MayClaim(TimePoint now) const {
+  return now >= claims_barred_until_ || now < reclaim_until_;
+}
+
 // Called before each event is handled, so that no event is handled under a
 // lease that has expired since the last one.
 void Lease::CheckExpiry(TimePoint now, Actions& actions) {
@@ -185,8 +211,9 @@
     version_ = kAbsentVersion;
     observed_since_.reset();
     exclusive_since_.reset();
-    return state_ == LeaseState::kChecking ? LeaseStep::kFoundHeld
-                                           : LeaseStep::kFoundFree;
+    return state_ == LeaseState::kChecking || !MayClaim(now)
+               ? LeaseStep::kFoundHeld
+               : LeaseStep::kFoundFree;
   }
   if (reply.status != StoreStatus::kOk) {
     return LeaseStep::kNoAnswer;
@@ -293,10 +320,10 @@
 
 void Lease::SendRead(Actions& actions) {
   in_flight_ = true;
-  actions.push_back(
-      {.kind = LeaseActionKind::kStore,
-       .token = ++token_,
-       .request = {.op = StoreOp::kGet, .key = LeaseKey(shard_)}});
+  actions.push_back({.kind = LeaseActionKind::kStore,
+                     .token = ++token_,
+                     .request = {.op = StoreOp::kGet,
+                                 .key = LeaseKey(shard_, store_epoch_)}});
 }
 
 void Lease::SendWrite(bool released, TimePoint now, Actions& actions) {
@@ -313,7 +340,7 @@
   actions.push_back({.kind = LeaseActionKind::kStore,
                      .token = ++token_,
                      .request = {.op = StoreOp::kPut,
-                                 .key = LeaseKey(shard_),
+                                 .key = LeaseKey(shard_, store_epoch_),
                                  .body = written_.Encode(),
                                  .expected_version = version_}});
 }
--- a/modules/qh_platform/lease/lease.h
+++ b/modules/qh_platform/lease/lease.h
@@ -9,6 +9,13 @@
 // Every write is conditional on the version that was read. Clocks of different
 // nodes are never compared; only their rates matter, and the margin covers the
 // difference between those.
+//
+// A store that was restored from an older copy has lost the newest records.
+// Each epoch of the store therefore has a lease object of its own, which no
+// copy can hold and no write of an earlier epoch can reach. The node that held
+// the lease until the restore writes its record again at once. No other node
+// takes a lease without a record before the whole duration has passed, because
+// the holder may not know of the restore yet.
 
 #ifndef QH_PLATFORM_LEASE_LEASE_H_
 #define QH_PLATFORM_LEASE_LEASE_H_
@@ -65,6 +72,7 @@
   kRenew,
   kLapse,
   kRelease,
+  kRestored,
 };
 
 template <>
@@ -83,6 +91,7 @@
     {LeaseStep::kRenew, "renew"},
     {LeaseStep::kLapse, "lapse"},
     {LeaseStep::kRelease, "release"},
+    {LeaseStep::kRestored, "restored"},
 };
 
 struct LeaseSettings {
@@ -114,6 +123,8 @@
   kRelease,
   // `reply` is the reply to the store call `token`.
   kReply,
+  // The store was restored from an older copy; `store_epoch` is its new epoch.
+  kStoreRestored,
 };
 
 struct LeaseEvent {
@@ -122,6 +133,7 @@
   StoreReply reply;
   // kRelease: lower bound for the fencing number in the released record.
   uint64_t fencing_floor = 0;
+  uint64_t store_epoch = 0;
 };
 
 enum class LeaseActionKind {
@@ -159,6 +171,11 @@
 
 class Lease {
  public:
+  // Distance of the fencing numbers of two epochs of the store, so that numbers
+  // of a later epoch are higher whatever the store has lost. The lease changes
+  // hands less often than this within an epoch.
+  static constexpr uint64_t kFencingPerEpoch = 1'000'000;
+
   // Creates a lease on `shard` for the process `incarnation` on `holder`.
   // `seed` is used for nonces and jitter and must differ between processes.
   static Lease Create(std::string shard,
@@ -179,6 +196,12 @@
   const std::string& shard() const { return shard_; }
   const LeaseSettings& settings() const { return settings_; }
   bool wanted() const { return wanted_; }
+  // Sets the store's epoch when it becomes known. Later ones come as
+  // kStoreRestored.
+  void SetStoreEpoch(uint64_t epoch);
+  // A lease without a record is not taken before `until`: another node may hold
+  // it, whose record a restore of the store has lost.
+  void BarClaims(TimePoint until) { claims_barred_until_ = until; }
 
  private:
   using Actions = std::vector<LeaseAction>;
@@ -194,6 +217,9 @@
   void OnTick(TimePoint now, Actions& actions);
   void OnReply(const LeaseEvent& event, TimePoint now, Actions& actions);
   void OnWriteReply(const StoreReply& reply, TimePoint now, Actions& actions);
+  void OnStoreRestored(TimePoint now, Actions& actions);
+  // Whether a lease without a record may be taken at once.
+  bool MayClaim(TimePoint now) const;
   LeaseStep ClassifyRead(const StoreReply& reply, TimePoint now);
   void OnObserved(const StoreReply& reply, TimePoint now);
   // Applies `step` to the chart and runs the actions of the new state. A step
@@ -226,6 +252,11 @@
   // record is observed.
   std::optional<TimePoint> observed_since_;
   uint64_t fencing_floor_ = 0;
+  uint64_t store_epoch_ = 0;
+  // Until then a missing record doesn't mean that the lease is free.
+  TimePoint claims_barred_until_;
+  // Until then this node is the one that held the lease before the restore.
+  TimePoint reclaim_until_;
 
   // End of the time in which the lease may be used; set by confirmed writes
   // only.
--- a/modules/qh_platform/lease/lease_record.cpp
+++ b/modules/qh_platform/lease/lease_record.cpp
@@ -48,8 +48,9 @@
   return record;
 }
 
-std::string LeaseKey(const std::string& shard) {
-  return "leases/" + shard;
+std::string LeaseKey(const std::string& shard, uint64_t store_epoch) {
+  const std::string key = "leases/" + shard;
+  return store_epoch == 0 ? key : key + "-epoch-" + std::to_string(store_epoch);
 }
 
 }  // namespace qh
--- a/modules/qh_platform/lease/lease_record.h
+++ b/modules/qh_platform/lease/lease_record.h
@@ -33,8 +33,9 @@
   static Result<LeaseRecord> Decode(const std::string& body);
 };
 
-// Returns the key of the lease object of `shard`.
-std::string LeaseKey(const std::string& shard);
+// Returns the key of the lease object of `shard` in an epoch of the store;
+// epoch 0 stands for a store without epochs.
+std::string LeaseKey(const std::string& shard, uint64_t store_epoch);
 
 }  // namespace qh
 
--- a/tests/qh_gateway/control_test.cpp
+++ b/tests/qh_gateway/control_test.cpp
@@ -155,7 +155,11 @@
   heartbeat.ready = true;
   heartbeat.caller_address.host = "10.0.0.1";
   heartbeat.config_version = 4;
-  heartbeat.servers_revision = 77;
+  heartbeat.store_epoch = 3;
+  heartbeat.servers_version = {3, 77};
+  heartbeat.departures = {{ServerId("s1"), 5}};
+  heartbeat.pauses = {{ServerId("s2"), seconds(3)}};
+  heartbeat.reported_window = 41;
   heartbeat.store_reachability.answered_ago = seconds(1);
   heartbeat.outstanding_work = {{ServerId("s"), {3, 4'000}}};
   heartbeat.team_totals = {{TeamId("t"), 1.5}};
--- a/tests/qh_gateway/data_path_test.cpp
+++ b/tests/qh_gateway/data_path_test.cpp
@@ -268,14 +268,14 @@
   record.draining = true;
   record.leaves_in = milliseconds(200);
   SECTION("with its KV cache") {
-    state.directory.OnServer(record);
+    state.directory.OnServer(record, MonotonicNow());
     REQUIRE(RunUntil([&] { return Has(caller.received(), kLastChunk); }));
     CHECK(Has(caller.received(), "id: 3"));
     CHECK(Has(caller.received(), "id: 4"));
   }
   SECTION("a refused migration leaves the stream in place") {
     accepts_migration = false;
-    state.directory.OnServer(record);
+    state.directory.OnServer(record, MonotonicNow());
     REQUIRE(RunUntil([&] { return first->requests().size() == 2; }));
     RunFor(milliseconds(50));
     CHECK_FALSE(caller.closed());
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -10,6 +10,8 @@
 
 // Delay of ScriptedReply::later and of a reset.
 constexpr auto kReplyDelay = std::chrono::milliseconds(30);
+// Size of one write of a flood.
+constexpr size_t kFloodBytes = size_t{64} << 10U;
 constexpr auto kMaxRunTime = std::chrono::seconds(2);
 
 constexpr const char* kConfig = R"({"version":3,"routes":[
@@ -66,6 +68,7 @@
   boost::asio::steady_timer delay_timer;
   HttpParser parser{MessageKind::kRequest, {}};
   bool stalled = false;
+  bool chunked = false;
   std::array<char, 4'096> in{};
 };
 
@@ -137,6 +140,7 @@
 
 void ScriptedServer::Reply(const std::shared_ptr<Connection>& connection) {
   const HttpHead head = connection->parser.head();
+  last_body_ = connection->parser.TakeBody();
   requests_.push_back(head);
   const ScriptedReply reply = script_(requests_.size() - 1, head);
   connection->Write(WithId(reply.bytes, head));
@@ -168,9 +172,30 @@
     case ScriptedReply::Then::kStall:
       connection->stalled = true;
       break;
+    case ScriptedReply::Then::kFlood:
+      ++flooding_;
+      connection->chunked = reply.bytes.find("chunked") != std::string::npos;
+      Flood(connection);
+      break;
   }
 }
 
+void ScriptedServer::Flood(const std::shared_ptr<Connection>& connection) {
+  static const std::string plain(kFloodBytes, 'x');
+  static const std::string chunk = EncodeChunk(plain, 1);
+  boost::asio::async_write(
+      connection->socket,
+      boost::asio::buffer(connection->chunked ? chunk : plain),
+      [this, connection](const boost::system::error_code& error, size_t size) {
+        flooded_bytes_ += size;
+        if (error) {
+          --flooding_;
+          return;
+        }
+        Flood(connection);
+      });
+}
+
 ScriptedCaller::ScriptedCaller(boost::asio::io_context& io,
                                const Address& gateway)
     : socket_(io) {
@@ -226,7 +251,7 @@
   record.service = service;
   record.address = servers_.back()->address();
   record.slots = 4;
-  state.directory.OnServer(record);
+  state.directory.OnServer(record, MonotonicNow());
   return *servers_.back();
 }
 
--- a/tests/qh_gateway/gateway_fixture.h
+++ b/tests/qh_gateway/gateway_fixture.h
@@ -32,7 +32,10 @@
     // Resets the connection after 30 ms.
     kReset,
     // Sends nothing more and leaves the connection open.
-    kStall
+    kStall,
+    // Sends bytes without end until the peer closes: as chunks if `bytes` says
+    // so, else as they are.
+    kFlood
   } then = Then::kKeepOpen;
   // Sent after 30 ms, if not empty.
   std::string later;
@@ -54,6 +57,11 @@
   size_t connections() const { return connections_; }
   // Connections that the peer closed.
   size_t closed() const { return closed_; }
+  // Connections that are being flooded (kFlood), and the bytes sent there.
+  size_t flooding() const { return flooding_; }
+  size_t flooded_bytes() const { return flooded_bytes_; }
+  // Body of the request that was received last.
+  const std::string& last_body() const { return last_body_; }
   // Closes the sending side of every connection that is stalled (kStall).
   void EndStalled();
   // Stops listening and resets all connections.
@@ -65,6 +73,7 @@
   void Accept();
   void Read(const std::shared_ptr<Connection>& connection);
   void Reply(const std::shared_ptr<Connection>& connection);
+  void Flood(const std::shared_ptr<Connection>& connection);
 
   boost::asio::io_context& io_;
   TcpAcceptor acceptor_;
@@ -73,6 +82,9 @@
   std::vector<std::weak_ptr<Connection>> open_;
   size_t connections_ = 0;
   size_t closed_ = 0;
+  size_t flooding_ = 0;
+  size_t flooded_bytes_ = 0;
+  std::string last_body_;
 };
 
 // A caller with one connection to the gateway.
--- a/tests/qh_gateway/picking_test.cpp
+++ b/tests/qh_gateway/picking_test.cpp
@@ -24,12 +24,12 @@
       engine.service = "chat";
       engine.failure_domain = FailureDomainId("z");
       engine.slots = 4;
-      directory.OnServer(engine);
+      directory.OnServer(engine, kStart);
       ServerRecord plain_server;
       plain_server.id = ServerId(std::string("p") + id);
       plain_server.service = "plain";
       plain_server.slots = 2;
-      directory.OnServer(plain_server);
+      directory.OnServer(plain_server, kStart);
     }
   }
   PickQuery Query(uint32_t session, uint32_t tokens, bool engine = true) {
@@ -41,7 +41,8 @@
             .time_left = seconds(10)};
   }
 
-  ServerDirectory directory{[](ServerChange, const ServerRecord&) {}};
+  ServerDirectory directory{[](ServerChange, const ServerRecord&) {},
+                            seconds(5)};
   ServerPicker picker{directory, FailureDomainId("z"), 1};
   RouteRule route{.latency_target = milliseconds(500)};
   ServiceRule chat{.name = "chat", .engine = EngineTraits{.slots = 4}};
--- a/tests/qh_gateway/server_directory_test.cpp
+++ b/tests/qh_gateway/server_directory_test.cpp
@@ -15,6 +15,8 @@
 using std::chrono::seconds;
 
 const TimePoint kStart{seconds(100)};
+// How long the store keeps a registration that is not renewed.
+constexpr Duration kExpiry = seconds(5);
 
 ServerRecord Server(const std::string& id, bool draining = false) {
   return {.id = ServerId(id),
@@ -28,39 +30,40 @@
   ServerDirectory directory{
       [this](ServerChange change, const ServerRecord& server) {
         changes.emplace_back(change, server.id.value());
-      }};
+      },
+      kExpiry};
 };
 
 }  // namespace
 
 TEST_CASE_METHOD(Fixture, "a draining or removed server gets no new requests") {
-  directory.OnList({Server("a"), Server("b")}, false);
+  directory.OnList({Server("a"), Server("b")}, false, kStart);
   CHECK(directory.Usable("chat").size() == 2);
-  directory.OnServer(Server("a", true));
+  directory.OnServer(Server("a", true), kStart);
   CHECK(directory.Usable("chat").size() == 1);
   CHECK(directory.Find(ServerId("a")) != nullptr);
-  directory.OnRemoved(ServerId("b"), false);
+  directory.OnRemoved(ServerId("b"), false, kStart);
   CHECK(directory.Usable("chat").empty());
   CHECK(changes.back() == std::pair(ServerChange::kGone, std::string("b")));
 }
 
 TEST_CASE_METHOD(Fixture,
                  "a lapsed server is used until the grace period ends") {
-  directory.OnList({Server("a"), Server("b", true)}, false);
-  directory.OnList({}, true);
+  directory.OnList({Server("a"), Server("b", true)}, false, kStart);
+  directory.OnList({}, true, kStart);
   CHECK(directory.Usable("chat").size() == 1);
   // A draining server is removed at once.
   CHECK(directory.Find(ServerId("b")) == nullptr);
-  directory.OnTick(true);
+  directory.OnTick(true, kStart);
   CHECK(directory.Usable("chat").size() == 1);
   SECTION("its registration comes back") {
-    directory.OnServer(Server("a"));
-    directory.OnTick(false);
+    directory.OnServer(Server("a"), kStart);
+    directory.OnTick(false, kStart);
     CHECK(directory.Usable("chat").size() == 1);
     CHECK(changes.back().first == ServerChange::kReturned);
   }
   SECTION("its registration does not come back") {
-    directory.OnTick(false);
+    directory.OnTick(false, kStart);
     CHECK(directory.Usable("chat").empty());
   }
 }
@@ -68,9 +71,9 @@
 TEST_CASE_METHOD(Fixture,
                  "a server with a new start time counts as restarted") {
   ServerRecord server = Server("a");
-  directory.OnServer(server);
+  directory.OnServer(server, kStart);
   server.started_ms = 5;
-  directory.OnServer(server);
+  directory.OnServer(server, kStart);
   CHECK(changes.back().first == ServerChange::kRestarted);
 }
 
--- a/tests/qh_gateway/server_snapshot_test.cpp
+++ b/tests/qh_gateway/server_snapshot_test.cpp
@@ -16,7 +16,7 @@
                             const std::vector<StoredObject>& objects) {
   ServerSnapshot snapshot;
   snapshot.OnList(objects);
-  snapshot.OnConfirmed(revision);
+  snapshot.OnConfirmed({.epoch = 1, .revision = revision});
   return snapshot;
 }
 
@@ -29,7 +29,7 @@
   const auto page = node.ReadNewer(peer.Encode());
   REQUIRE(page);
   REQUIRE(page.value());
-  CHECK(page.value()->revision == 9);
+  CHECK(page.value()->version.revision == 9);
   REQUIRE(page.value()->objects.size() == 2);
   CHECK(page.value()->objects[0].name == "a");
   CHECK(page.value()->objects[0].content == "draining");
@@ -44,7 +44,7 @@
   const std::string in_flight =
       MakeSnapshot(9, {Object("a", "ready")}).Encode();
   node.OnList({Object("a", "draining")});
-  node.OnConfirmed(12);
+  node.OnConfirmed({.epoch = 1, .revision = 12});
   const auto page = node.ReadNewer(in_flight);
   REQUIRE(page);
   CHECK_FALSE(page.value());
@@ -56,10 +56,10 @@
       MakeSnapshot(5, {Object("a", "ready"), Object("b", "ready")});
   node.OnObject(Object("a", "draining"));
   node.OnRemoved("b");
-  node.OnConfirmed(7);
+  node.OnConfirmed({.epoch = 1, .revision = 7});
   // A list that was read before the changes does not lower the revision.
-  node.OnConfirmed(6);
-  CHECK(node.revision() == 7);
+  node.OnConfirmed({.epoch = 1, .revision = 6});
+  CHECK(node.version().revision == 7);
   const auto page = ServerSnapshot().ReadNewer(node.Encode());
   REQUIRE(page);
   REQUIRE(page.value());
@@ -68,11 +68,13 @@
 }
 
 TEST_CASE("a malformed snapshot is refused") {
-  const std::string text =
-      GENERATE("", "[]", "{\"revision\":3}", "{\"servers\":{}}",
-               "{\"revision\":3,\"servers\":[]}",
-               "{\"revision\":3,\"servers\":{\"a\":1}}",
-               "{\"revision\":\"3\",\"servers\":{}}");
+  const std::string text = GENERATE(
+      "", "[]", "{\"epoch\":1,\"revision\":3}", "{\"epoch\":1,\"servers\":{}}",
+      "{\"revision\":3,\"servers\":{}}",
+      "{\"epoch\":1,\"revision\":3,\"servers\":[]}",
+      "{\"epoch\":1,\"revision\":3,\"servers\":{\"a\":1}}",
+      "{\"epoch\":1,\"revision\":\"3\",\"servers\":{}}",
+      "{\"epoch\":-1,\"revision\":3,\"servers\":{}}");
   CAPTURE(text);
   CHECK(ServerSnapshot().ReadNewer(text).error().kind() ==
         ErrorKind::kPeerMalformed);
--- a/tests/qh_gateway/store_watcher_test.cpp
+++ b/tests/qh_gateway/store_watcher_test.cpp
@@ -29,7 +29,7 @@
   void Watch(ScriptedServer::Script script) {
     store = std::make_unique<ScriptedServer>(io, std::move(script));
     watcher = std::make_unique<StoreWatcher>(
-        io, store->address(), codec.store, "k", 1,
+        io, store->address(), codec.store, state.store_epoch, "k", 1,
         StoreWatcher::Hooks{
             .on_list =
                 [this](const std::vector<StoredObject>& objects) {
--- a/tests/qh_platform/lease_test.cpp
+++ b/tests/qh_platform/lease_test.cpp
@@ -241,7 +241,7 @@
 TEST_CASE("a malformed record is replaced after its assumed duration") {
   FakePlatform store;
   store.Apply({.op = StoreOp::kPut,
-               .key = LeaseKey("servers-1"),
+               .key = LeaseKey("servers-1", 0),
                .body = R"({"holder":7,"fencing":"x"})"});
   Node a("a", store);
   a.Want(kStart);
