Slow streams are not cut for want of a retry; peers' names are valid UTF-8

Change: a stalled attempt is given up only when another server can be picked and the budget grants the retry. Heartbeats with invalid names are rejected. The loop outlives an unexpected exception, which is logged; the periodic work and the receiving of heartbeats go on after one. Reclaimable servers are sized by the number of failure domains (two may be lost; unchanged for four). Lists of the nodes may be some seconds old.

Looked for and not found: answers cut at every byte (length, chunked, events) that look complete; a late second answer that reaches another caller; streams that drip bytes and never end; mutated requests and answers that end more than themselves.

--- a/apps/quetzalhall_gateway/main.cpp
+++ b/apps/quetzalhall_gateway/main.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <csignal>
+#include <exception>
 
 #include "apps/common/program.h"
 #include "platform/platform_codec.h"
@@ -15,6 +16,18 @@
 // Concurrency hint: only the main thread runs the io_context.
 constexpr int kThreads = 1;
 
+// Runs the loop until the node stops it. An unexpected error ends what it came
+// from, such as one request, and nothing else.
+void RunLoop(boost::asio::io_context& io) {
+  while (!io.stopped()) {
+    try {
+      io.run();
+    } catch (const std::exception& error) {
+      qh::LogLine("unexpected_error").With("what", error.what()).Warning();
+    }
+  }
+}
+
 // Loads the settings and serves until the node is asked to stop.
 qh::ExitCode Run(const po::variables_map& values) {
   const std::string path = values["config"].as<std::string>();
@@ -39,7 +52,7 @@
     return qh::ExitCode::kFailed;
   }
   node.value()->Start();
-  io.run();
+  RunLoop(io);
   return qh::ExitCode::kOk;
 }
 
--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -158,7 +158,8 @@
        .on_confirmed =
            [this](uint64_t revision) {
              node_mirror_.OnConfirmed({state_.store_epoch.current(), revision});
-           }});
+           },
+       .list_may_be_old = true});
   // The other nodes come first: they decide whether this one follows the store.
   node_watcher_->Start();
   RegisterNode();
@@ -218,6 +219,13 @@
 }
 
 void GatewayNode::Tick() {
+  // Armed first, so that an unexpected error does not end the periodic work.
+  tick_timer_.expires_after(kTickInterval);
+  tick_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Tick();
+    }
+  });
   const TimePoint now = MonotonicNow();
   state_.wall_clock.OnLocalTime(WallNow(), now);
   state_.log.OnTick(now);
@@ -232,12 +240,6 @@
   UpdateReadiness();
   FlushLog();
   StopWhenDrained(now);
-  tick_timer_.expires_after(kTickInterval);
-  tick_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      Tick();
-    }
-  });
 }
 
 bool GatewayNode::is_ready() const {
--- a/modules/qh_gateway/control/peer_exchange.cpp
+++ b/modules/qh_gateway/control/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "qh_gateway/control/peer_exchange.h"
 
 #include <algorithm>
+#include <exception>
 
 namespace qh {
 namespace {
@@ -207,7 +208,15 @@
           return;
         }
         if (!error) {
-          OnDatagram(size);
+          try {
+            OnDatagram(size);
+          } catch (const std::exception& unexpected) {
+            // One message must not end the exchange with all peers.
+            LogLine("unexpected_error")
+                .With("from", sender_.address().to_string())
+                .With("what", unexpected.what())
+                .Warning();
+          }
         }
         Receive();
       });
--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -1,7 +1,10 @@
 #include "qh_gateway/control/peer_heartbeat.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "qh_core/text/utf8.h"
+
 namespace qh {
 namespace {
 
@@ -159,6 +162,22 @@
   return heartbeat;
 }
 
+// Whether all names and texts are valid UTF-8. MessagePack does not demand it,
+// but the store's and the cloud's formats do, in which some of the names go out
+// again.
+bool HasOnlyUtf8(const Json& json) {
+  if (json.is_string()) {
+    return !FindInvalidUtf8(json.get_ref<const std::string&>());
+  }
+  if (json.is_object()) {
+    return std::all_of(
+        json.items().begin(), json.items().end(), [](const auto& item) {
+          return !FindInvalidUtf8(item.key()) && HasOnlyUtf8(item.value());
+        });
+  }
+  return !json.is_array() || std::all_of(json.begin(), json.end(), HasOnlyUtf8);
+}
+
 }  // namespace
 
 std::string PeerHeartbeat::Encode() const {
@@ -209,6 +228,9 @@
     if (json.at("format") != kFormat) {
       return Error(ErrorKind::kPeerMalformed, "unsupported heartbeat format");
     }
+    if (!HasOnlyUtf8(json)) {
+      return Error(ErrorKind::kPeerMalformed, "a name is not valid UTF-8");
+    }
     return FromJson(json);
   } catch (const Json::exception& exception) {
     return Error(ErrorKind::kPeerMalformed, exception.what());
--- a/modules/qh_gateway/control/store_watcher.cpp
+++ b/modules/qh_gateway/control/store_watcher.cpp
@@ -61,7 +61,8 @@
   if (after.empty()) {
     listed_objects_.clear();
   }
-  connection_.Send(protocol_.list(kind_, after), kListTimeout,
+  connection_.Send(protocol_.list(kind_, after, hooks_.list_may_be_old),
+                   kListTimeout,
                    [this](const CallReply& reply) { OnListReply(reply); });
 }
 
--- a/modules/qh_gateway/control/store_watcher.h
+++ b/modules/qh_gateway/control/store_watcher.h
@@ -50,6 +50,9 @@
     std::function<void()> on_regained;
     // Returns how long the store may hold the next watch call open.
     std::function<Duration()> watch_wait;
+    // Whether a list may be some seconds old; the watch from there reports what
+    // has changed since.
+    bool list_may_be_old = false;
     // Returns the delay before the next watch call. Changes that happen in the
     // meantime arrive in one call.
     std::function<Duration()> batch_delay;
--- a/modules/qh_gateway/decisions/capacity_planner.cpp
+++ b/modules/qh_gateway/decisions/capacity_planner.cpp
@@ -51,6 +51,14 @@
   return known ? peak : std::max(peak, history.found);
 }
 
+double CapacityPlanner::SpotPerNeeded(size_t domains) const {
+  const double count = static_cast<double>(domains);
+  const double lost = count > settings_.lost_domains + 1
+                          ? settings_.lost_domains
+                          : std::min(1.0, count - 1);
+  return (1 - settings_.on_demand_share) * count / (count - lost);
+}
+
 // On-demand servers replace reclaimable ones until those run. While reclaimable
 // servers are unavailable, they also replace those of the failure domain with
 // most of them: the next reclaim may take these, and no new ones could be had.
@@ -77,6 +85,9 @@
     const std::vector<const ServerRecord*>& servers,
     TimePoint now) {
   const ScalingTraits& scaling = *service.scaling;
+  if (scaling.domain_prices.empty()) {
+    return {};
+  }
   History& history =
       histories_.try_emplace(service.name, History{.first_seen = now})
           .first->second;
@@ -84,7 +95,7 @@
     double found = 0;
     for (const ServerRecord* server : servers) {
       if (server->service == service.name && !server->draining) {
-        found += server->spot ? 1 / settings_.spot_overprovisioning
+        found += server->spot ? 1 / SpotPerNeeded(scaling.domain_prices.size())
                               : settings_.initial_need_per_server;
       }
     }
@@ -101,9 +112,6 @@
   for (const auto& [domain, price] : scaling.domain_prices) {
     domains.emplace_back(price, domain);
   }
-  if (domains.empty()) {
-    return {};
-  }
   // The cheapest domains come first: they get one on-demand server more if
   // these can't be spread evenly.
   std::sort(domains.begin(), domains.end());
@@ -119,7 +127,7 @@
   const uint32_t spot_per_domain =
       scaling.spot_price
           ? std::clamp(
-                CeilOf(needed * settings_.spot_overprovisioning / domain_count),
+                CeilOf(needed * SpotPerNeeded(domains.size()) / domain_count),
                 1U, scaling.max_servers)
           : 0;
   uint32_t on_demand_left =
--- a/modules/qh_gateway/decisions/capacity_planner.h
+++ b/modules/qh_gateway/decisions/capacity_planner.h
@@ -36,8 +36,9 @@
     double slot_utilization = 0.5;
     // Target share of a server's time spent on prefill.
     double prefill_utilization = 0.5;
-    // Reclaimable servers ordered for each server needed.
-    double spot_overprovisioning = 1.6;
+    // Failure domains whose reclaimable servers may be lost at once; one where
+    // there are no more than three domains.
+    double lost_domains = 2;
     // On-demand servers always kept for each server needed.
     double on_demand_share = 0.2;
     // Nothing is ordered for this time after the list of servers became known,
@@ -120,6 +121,10 @@
     std::vector<Peak> peaks;
   };
 
+  // Returns how many reclaimable servers to order for each server needed, so
+  // that those of the failure domains that are left suffice with the on-demand
+  // ones.
+  double SpotPerNeeded(size_t domains) const;
   // Returns how many on-demand servers must replace reclaimable ones.
   double SpotShortfall(
       const History& history,
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -19,6 +19,8 @@
 // The same for the pause between two events, as a multiple of the route's
 // target.
 constexpr int kEventGapTimeoutFactor = 2;
+// Time until a stalled attempt is looked at again that could not be given up.
+constexpr auto kStallRecheckInterval = std::chrono::milliseconds(100);
 // No attempt is started with less time left than this.
 constexpr auto kMinAttemptTime = std::chrono::milliseconds(15);
 constexpr auto kMinRetryAfter = std::chrono::milliseconds(50);
@@ -85,19 +87,23 @@
   StartAttempt();
 }
 
+Result<ServerPick> Exchange::Choose(TimePoint now) {
+  return state_.picker.Choose({.route = route_,
+                               .service = service_,
+                               .request = &request_,
+                               .tried_servers = tried_servers_,
+                               .time_left = TimeLeft(now),
+                               .first_attempt = attempts_ == 0},
+                              now);
+}
+
 void Exchange::StartAttempt() {
   const TimePoint now = MonotonicNow();
   if (TimeLeft(now) < kMinAttemptTime) {
     OnDeadline();
     return;
   }
-  const auto pick = state_.picker.Choose({.route = route_,
-                                          .service = service_,
-                                          .request = &request_,
-                                          .tried_servers = tried_servers_,
-                                          .time_left = TimeLeft(now),
-                                          .first_attempt = attempts_ == 0},
-                                         now);
+  const auto pick = Choose(now);
   if (!pick) {
     Error error = pick.error();
     if (error.kind() == ErrorKind::kNoServer) {
@@ -242,6 +248,15 @@
   if (connection_ == nullptr || !MayRetry()) {
     return;
   }
+  // A slow server is better than none: the attempt is given up only for another
+  // one that may be made.
+  const TimePoint now = MonotonicNow();
+  if (!Choose(now) || !state_.retry_budget.TryAcquire(
+                          service_->name, state_.node_count(), now)) {
+    ArmStallTimer(kStallRecheckInterval);
+    return;
+  }
+  has_retry_permit_ = true;
   connection_->Close();
   OnAttemptFailed(AttemptOutcome::kUnresponsive,
                   "server stalled: nothing received within the timeout");
@@ -435,9 +450,10 @@
     ProbeAfterDisconnect(state_, pick_->server, content_fingerprint_);
   }
   ReleaseServer(outcome);
-  const bool retry =
-      MayRetry() &&
-      state_.retry_budget.TryAcquire(service_->name, state_.node_count(), now);
+  const bool permitted = std::exchange(has_retry_permit_, false);
+  const bool retry = MayRetry() && (permitted || state_.retry_budget.TryAcquire(
+                                                     service_->name,
+                                                     state_.node_count(), now));
   if (retry) {
     if (forwarding_) {
       state_.log.Write(LogLine(ToName(GatewayEvent::kStreamResumed))
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -65,6 +65,7 @@
   bool ChargeTeamLimit();
 
   // Attempts: picks a server, gets a connection to it and sends the request.
+  Result<ServerPick> Choose(TimePoint now);
   void StartAttempt();
   void OnConnectionReady(const ServerPick& pick,
                          const ServerConnectionPtr& connection);
@@ -147,6 +148,8 @@
   uint32_t connect_failures_ = 0;
   // Whether a server may have started to execute the request.
   bool may_have_run_ = false;
+  // The retry budget has granted the next retry.
+  bool has_retry_permit_ = false;
   // Whether the request counts in the team's usage; it is counted once.
   bool usage_counted_ = false;
 
--- a/modules/qh_gateway/forwarding/exchange_migration.cpp
+++ b/modules/qh_gateway/forwarding/exchange_migration.cpp
@@ -57,14 +57,7 @@
   if (!ShouldMigrateStream(progress, leaves_at - now)) {
     return;
   }
-  const auto destination =
-      state_.picker.Choose({.route = route_,
-                            .service = service_,
-                            .request = &request_,
-                            .tried_servers = tried_servers_,
-                            .time_left = TimeLeft(now),
-                            .first_attempt = false},
-                           now);
+  const auto destination = Choose(now);
   const bool allowed =
       destination &&
       state_.retry_budget.TryAcquire(service_->name, state_.node_count(), now);
--- a/modules/qh_gateway/model/stored_object.h
+++ b/modules/qh_gateway/model/stored_object.h
@@ -50,8 +50,11 @@
 // fail when it is malformed.
 struct StoreProtocol {
   // Lists the objects of `kind`, starting after the name `after` unless it is
-  // empty.
-  std::function<HttpCall(const std::string& kind, const std::string& after)>
+  // empty. With `may_be_old` the answer may be some seconds old, which costs
+  // the store less.
+  std::function<HttpCall(const std::string& kind,
+                         const std::string& after,
+                         bool may_be_old)>
       list;
   // Waits up to `wait` for changes to objects of `kind` after `revision`.
   std::function<
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -171,8 +171,8 @@
 
 TEST_CASE("store calls are encoded in the store's format") {
   const StoreProtocol& store = Codec().store;
-  CHECK(store.list("servers", "").target == "/objects/servers");
-  CHECK(store.list("servers", "i/1").target ==
+  CHECK(store.list("servers", "", false).target == "/objects/servers");
+  CHECK(store.list("servers", "i/1", false).target ==
         "/objects/servers?afterRev=i%2F1");
   CHECK(store.watch("k", 5, std::chrono::milliseconds(250)).target ==
         "/objects/k?watch=5&waitMs=250");
@@ -186,6 +186,43 @@
   CHECK(replace.body.find("\"revision\":6") != std::string::npos);
 }
 
+TEST_CASE("the store's epoch is read from every reply") {
+  const auto read = [](const std::string& value) {
+    CallReply reply{.outcome = HttpCallOutcome::kAnswered, .status = 503};
+    reply.fields = {{"store-era", value}};
+    return Codec().store.read_epoch(reply);
+  };
+  CHECK(read("7").value() == 7);
+  CHECK(Codec().store.read_epoch({}).value() == std::nullopt);
+  for (const char* bad : {"", "x", "-1", "1.5", "7 ", "99999999999999999999"}) {
+    CHECK_FALSE(read(bad));
+  }
+}
+
+TEST_CASE("a list that may be old is asked for as such") {
+  const StoreProtocol& store = Codec().store;
+  CHECK(store.list("k", "", true).target == "/objects/k?allowStale=1");
+  CHECK(store.list("k", "n", true).target ==
+        "/objects/k?allowStale=1&afterRev=n");
+}
+
+TEST_CASE("a server's wishes are read from its answer") {
+  const auto read = [](int status, const std::string& name,
+                       const std::string& value) {
+    HttpHead head;
+    head.status = status;
+    head.fields = {{name, value}};
+    return Codec().read_answer(head);
+  };
+  CHECK(read(200, "Server-Leaving", "1").leaving);
+  CHECK_FALSE(read(200, "Server-Leaving", "0").leaving);
+  CHECK(read(503, "Retry-After", "2").pause == std::chrono::seconds(2));
+  CHECK(read(503, "Retry-After", "0.25").pause ==
+        std::chrono::milliseconds(250));
+  CHECK_FALSE(read(429, "Retry-After", "2").pause);
+  CHECK_FALSE(read(503, "Retry-After", "Fri, 04 Dec 2026").pause);
+}
+
 TEST_CASE("a caller's query for node addresses is decoded and answered") {
   HttpHead head;
   head.method = "GET";
--- a/tests/qh_gateway/control_test.cpp
+++ b/tests/qh_gateway/control_test.cpp
@@ -65,6 +65,16 @@
   std::vector<ServerRecord> records;
 };
 
+// The same service in as many failure domains as given.
+ServiceRule ScaledIn(size_t domains) {
+  ServiceRule service = Scaled();
+  service.scaling->domain_prices.clear();
+  for (size_t i = 0; i < domains; ++i) {
+    service.scaling->domain_prices[FailureDomainId(std::to_string(i))] = 1.0;
+  }
+  return service;
+}
+
 // Servers desired by the orders for spot or on-demand servers.
 uint32_t Sum(const std::vector<CapacityOrder>& orders, bool spot) {
   uint32_t sum = 0;
@@ -219,6 +229,52 @@
   CHECK(left + Sum(orders, false) >= needed);
 }
 
+// With more failure domains, the loss of two takes a smaller part of the
+// servers.
+TEST_CASE("fewer spot servers are spare where there are more failure domains") {
+  const auto desired = [](size_t domains) {
+    CapacityPlanner planner(CapacityPlanner::Settings{});
+    ServiceRule service = ScaledIn(domains);
+    service.scaling->max_servers = 1'000;
+    const ServiceDemand demand{.open_requests = 600};
+    planner.Plan(service, demand, Fleet(8, 0).All(), kStart);
+    return planner.Plan(service, demand, Fleet(8, 400).All(),
+                        kStart + seconds(20));
+  };
+  const double needed =
+      600 / (10 * CapacityPlanner::Settings{}.slot_utilization);
+  for (const size_t domains : {4, 6, 12}) {
+    const auto orders = desired(domains);
+    const double spot = Sum(orders, true);
+    const double left =
+        spot * static_cast<double>(domains - 2) / static_cast<double>(domains);
+    CHECK(left + Sum(orders, false) >= needed);
+  }
+  CHECK(Sum(desired(6), true) < Sum(desired(4), true) * 4 / 5);
+}
+
+// A shortage of spot servers may last long.
+TEST_CASE("a refused order is tried ever more rarely") {
+  CapacityPlanner planner(CapacityPlanner::Settings{});
+  const ServiceRule service = ScaledIn(1);
+  const ServiceDemand demand{.open_requests = 8};
+  size_t refused = 0;
+  for (int i = 0; i < 600; ++i) {
+    const TimePoint now = kStart + std::chrono::milliseconds(100) * i;
+    for (const CapacityOrder& order :
+         planner.Plan(service, demand, Fleet(1, 0).All(), now)) {
+      if (order.spot) {
+        ++refused;
+        planner.OnRefused(order, now);
+      } else {
+        planner.OnAccepted(order, now);
+      }
+    }
+  }
+  CHECK(refused >= 6);
+  CHECK(refused <= 12);
+}
+
 // Every spot server is reclaimed and no new one is available: on-demand servers
 // have to replace them.
 TEST_CASE("on-demand servers replace spot servers that are not available") {
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -103,6 +103,15 @@
   }
 }
 
+void ScriptedServer::SendStalled(const std::string& bytes) {
+  for (const auto& weak : open_) {
+    const auto connection = weak.lock();
+    if (connection != nullptr && connection->stalled) {
+      connection->Write(bytes);
+    }
+  }
+}
+
 void ScriptedServer::Accept() {
   acceptor_.async_accept(
       [this](const boost::system::error_code& error, TcpSocket socket) {
--- a/tests/qh_gateway/gateway_fixture.h
+++ b/tests/qh_gateway/gateway_fixture.h
@@ -64,6 +64,8 @@
   const std::string& last_body() const { return last_body_; }
   // Closes the sending side of every connection that is stalled (kStall).
   void EndStalled();
+  // Sends `bytes` on every connection that is stalled (kStall).
+  void SendStalled(const std::string& bytes);
   // Stops listening and resets all connections.
   void Crash();
 
