--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -141,9 +141,6 @@
   LeaderTasks leader_tasks_;
   PeerExchange peers_;
   StoreConnection register_connection_;
-  // Whether the store holds this node's registration.
-  bool registered_ = false;
-
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer register_timer_;
@@ -163,9 +160,8 @@
   // The servers and the nodes as last reported by the store or a peer.
   StoreMirror server_mirror_;
   StoreMirror node_mirror_;
-  // Whether this node follows the store, when it last had to, and since when it
-  // has to without a break.
-  bool following_ = false;
+  // When this node last had to follow the store, and since when it has to
+  // without a break.
   TimePoint following_needed_at_;
   std::optional<TimePoint> follow_due_since_;
   // When the store first listed the nodes.
@@ -173,9 +169,14 @@
   // Since when a peer has had a newer configuration or list of servers.
   std::optional<TimePoint> behind_since_;
   StoreReachability store_reachability_;
-  // The connection for calls to a peer, the peer, and whether a call is open.
+  // The connection for calls to a peer, and the peer.
   std::shared_ptr<HttpClient> peer_client_;
   Address peer_client_address_;
+  // Whether the store holds this node's registration.
+  bool registered_ = false;
+  // Whether this node follows the store.
+  bool following_ = false;
+  // Whether a call to a peer is open.
   bool fetching_ = false;
   // Value of is_ready that was last announced.
   bool was_ready_ = false;
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -32,13 +32,6 @@
   "tenants":[{"name":"team","apiKeys":["key"],"unit":"token_count",
    "plainTokens":10,"ratePerS":10,"burst":40}]})";
 
-GatewaySettings Settings() {
-  GatewaySettings settings;
-  settings.node = InstanceId("n1");
-  settings.failure_domain = FailureDomainId("z");
-  return settings;
-}
-
 // Replaces %ID% in `text` by the id of the request `head`.
 std::string WithId(std::string text, const HttpHead& head) {
   constexpr std::string_view kPlaceholder = "%ID%";
@@ -234,8 +227,15 @@
       });
 }
 
-GatewayFixture::GatewayFixture()
-    : state(io, codec, Settings(), MonotonicNow(), 1),
+GatewaySettings GatewayFixture::DefaultSettings() {
+  GatewaySettings settings;
+  settings.node = InstanceId("n1");
+  settings.failure_domain = FailureDomainId("z");
+  return settings;
+}
+
+GatewayFixture::GatewayFixture(const GatewaySettings& settings)
+    : state(io, codec, settings, MonotonicNow(), 1),
       acceptor_(std::move(Listen(io, {"127.0.0.1", 0}).value())) {
   state.ApplyConfig(codec.read_config(kConfig).value(), MonotonicNow());
   Accept();
--- a/tests/qh_gateway/gateway_fixture.h
+++ b/tests/qh_gateway/gateway_fixture.h
@@ -113,7 +113,10 @@
 
 class GatewayFixture {
  public:
-  GatewayFixture();
+  // Settings of a node without store and cloud.
+  static GatewaySettings DefaultSettings();
+
+  explicit GatewayFixture(const GatewaySettings& settings = DefaultSettings());
 
   // Starts a server of `service` and registers it under `id`.
   ScriptedServer& AddServer(const std::string& id,
