--- a/tests/qh_gateway/robustness_test.cpp
+++ b/tests/qh_gateway/robustness_test.cpp
@@ -99,10 +99,15 @@
 
 TEST_CASE_METHOD(GatewayFixture,
                  "an answer cut anywhere never looks complete") {
-  const auto [answer, path] = GENERATE(
-      table<std::string, std::string>({{LengthAnswer(), "/unsafe/x"},
-                                       {ChunkedAnswer(), "/unsafe/x"},
-                                       {StreamAnswer(), "/stream/x"}}));
+  struct Case {
+    std::string answer;
+    std::string path;
+  };
+  const Case tried = GENERATE(Case{LengthAnswer(), "/unsafe/x"},
+                              Case{ChunkedAnswer(), "/unsafe/x"},
+                              Case{StreamAnswer(), "/stream/x"});
+  const std::string& answer = tried.answer;
+  const std::string& path = tried.path;
   const bool reset = GENERATE(false, true);
   size_t cut = 0;
   const Then then = reset ? Then::kReset : Then::kHalfClose;
