Log and count how callers' connections end, and input dropped after a close

Now caller_input_dropped tells why the node was closing, how long the connection had rested and how long ago the close began; two counters have the closes by reason; a caller's connection that ends with an error is no longer logged as closed by the caller.

--- a/modules/qh_gateway/control/event_log.cpp
+++ b/modules/qh_gateway/control/event_log.cpp
@@ -12,6 +12,7 @@
     case GatewayEvent::kDependencyLost:
     case GatewayEvent::kStoreRestored:
     case GatewayEvent::kRequestFailed:
+    case GatewayEvent::kCallerInputDropped:
     case GatewayEvent::kAttemptFailed:
     case GatewayEvent::kLeaseLost:
     case GatewayEvent::kLeaderCallFailed:
--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -52,22 +52,40 @@
           return;
         }
         if (error) {
-          self->OnDisconnected();
+          self->OnDisconnected(error);
           return;
         }
         self->OnBytes(size);
       });
 }
 
-void CallerConnection::OnDisconnected() {
+void CallerConnection::OnDisconnected(const boost::system::error_code& error) {
+  const bool orderly = error == boost::asio::error::eof;
   if (exchange_ != nullptr) {
-    exchange_->OnCallerDisconnected();
+    exchange_->OnCallerDisconnected(
+        orderly ? "caller disconnected"
+                : "connection to the caller lost: " + error.message());
   }
-  Close();
+  Close(orderly ? CallerCloseReason::kCaller : CallerCloseReason::kNetwork);
+}
+
+void CallerConnection::LogDroppedInput(size_t size) {
+  const TimePoint now = MonotonicNow();
+  state_.metrics.Count({.name = "gateway_caller_input_dropped_total",
+                        .reason = std::string(ToName(close_reason_))});
+  state_.log.Write(
+      LogLine(ToName(GatewayEvent::kCallerInputDropped))
+          .With("bytes", size)
+          .With("close", ToName(close_reason_))
+          .With("since_ms", ToMilliseconds(now - close_began_at_))
+          .With("rested_ms", ToMilliseconds(close_began_at_ - idle_since_))
+          .With("idle_limit_ms", ToMilliseconds(Limits().idle_timeout)),
+      GatewayEvent::kCallerInputDropped);
 }
 
 void CallerConnection::OnBytes(size_t size) {
   if (lingering_) {
+    LogDroppedInput(size);
     Read();
     return;
   }
@@ -168,7 +186,7 @@
 
 void CallerConnection::OnTimeout() {
   if (lingering_) {
-    Close();
+    Close(close_reason_);
     return;
   }
   if (exchange_ != nullptr) {
@@ -179,7 +197,7 @@
         Error(ErrorKind::kRequestTimeout, "request not received in time"));
     return;
   }
-  CloseGracefully();
+  CloseGracefully(CallerCloseReason::kIdle);
 }
 
 void CallerConnection::Write(std::string bytes, bool last) {
@@ -233,7 +251,7 @@
           return;
         }
         if (error) {
-          self->OnDisconnected();
+          self->OnDisconnected(error);
           return;
         }
         self->OnWriteDone();
@@ -256,8 +274,11 @@
   answer_complete_ = false;
   backpressure_ = false;
   read_ahead_ = 0;
+  idle_since_ = MonotonicNow();
   if (!keep_alive_ || state_.draining_since || !parser_.Next()) {
-    CloseGracefully();
+    CloseGracefully(keep_alive_ && state_.draining_since
+                        ? CallerCloseReason::kDraining
+                        : CallerCloseReason::kAnswered);
     return;
   }
   ArmReadTimer();
@@ -269,30 +290,35 @@
 // answer is incomplete.
 void CallerConnection::Abort() {
   exchange_ = nullptr;
-  Close();
+  Close(CallerCloseReason::kAborted);
 }
 
-void CallerConnection::CloseGracefully() {
+void CallerConnection::CloseGracefully(CallerCloseReason reason) {
   if (closed_ || lingering_) {
     return;
   }
   lingering_ = true;
+  close_reason_ = reason;
+  close_began_at_ = MonotonicNow();
   boost::system::error_code ignored;
   socket_.shutdown(TcpSocket::shutdown_send, ignored);
   timer_.expires_after(kLingerTimeout);
   timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& error) {
         if (!error) {
-          self->Close();
+          self->Close(self->close_reason_);
         }
       });
   Read();
 }
 
-void CallerConnection::Close() {
+void CallerConnection::Close(CallerCloseReason reason) {
   if (std::exchange(closed_, true)) {
     return;
   }
+  state_.metrics.Count(
+      {.name = "gateway_caller_connections_closed_total",
+       .reason = std::string(ToName(lingering_ ? close_reason_ : reason))});
   SetUnfinished(false);
   exchange_ = nullptr;
   timer_.cancel();
--- a/modules/qh_gateway/forwarding/caller_connection.h
+++ b/modules/qh_gateway/forwarding/caller_connection.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "qh_core/text/enum_table.h"
 #include "qh_gateway/forwarding/exchange.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 #include "qh_net/http_parser.h"
@@ -16,6 +17,34 @@
 
 namespace qh {
 
+// Why a caller's connection ended.
+enum class CallerCloseReason {
+  kNone,
+  // Idle for too long.
+  kIdle,
+  // The last answer had announced the close.
+  kAnswered,
+  // The node is stopping.
+  kDraining,
+  // An answer could not be completed.
+  kAborted,
+  // The caller closed its side.
+  kCaller,
+  // The network failed, or the caller reset the connection.
+  kNetwork,
+};
+
+template <>
+inline constexpr EnumName<CallerCloseReason> kEnumNames<CallerCloseReason>[] = {
+    {CallerCloseReason::kNone, "none"},
+    {CallerCloseReason::kIdle, "idle"},
+    {CallerCloseReason::kAnswered, "answered"},
+    {CallerCloseReason::kDraining, "draining"},
+    {CallerCloseReason::kAborted, "aborted"},
+    {CallerCloseReason::kCaller, "caller"},
+    {CallerCloseReason::kNetwork, "network"},
+};
+
 // Keeps itself alive through its pending operations. Runs on the thread of the
 // io_context.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
@@ -36,7 +65,9 @@
   HttpParser MakeParser() const;
   void Read();
   void OnBytes(size_t size);
-  void OnDisconnected();
+  void OnDisconnected(const boost::system::error_code& error);
+  // Logs input that arrived after the node had begun to close the connection.
+  void LogDroppedInput(size_t size);
   // Starts an exchange if the parser holds a complete request and none runs.
   void StartBufferedRequest();
   void StartExchange();
@@ -59,8 +90,8 @@
   void Abort();
   // Half-closes, then waits for the caller to close, so that the sent bytes
   // arrive: closing with unread input would reset the connection.
-  void CloseGracefully();
-  void Close();
+  void CloseGracefully(CallerCloseReason reason);
+  void Close(CallerCloseReason reason);
 
   GatewayState& state_;
   TcpSocket socket_;
@@ -83,6 +114,11 @@
   // Half-closed; input is discarded until the caller closes.
   bool lingering_ = false;
   bool closed_ = false;
+  // Why the node began to close the connection, and when.
+  CallerCloseReason close_reason_ = CallerCloseReason::kNone;
+  TimePoint close_began_at_;
+  // When the connection was opened or the last answer was written.
+  TimePoint idle_since_ = MonotonicNow();
   // Bytes received since the current exchange started.
   size_t read_ahead_ = 0;
   std::array<char, 16U << 10U> read_buffer_{};
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -41,9 +41,9 @@
   // Runs the admission checks and starts the first attempt. May call `sink`
   // before it returns.
   void Start();
-  // The caller has disconnected; closes the server's connection, which cancels
-  // the work there.
-  void OnCallerDisconnected();
+  // The connection to the caller has ended, for `reason`; closes the server's
+  // connection, which cancels the work there.
+  void OnCallerDisconnected(const std::string& reason);
   // Stops reading from the server while the caller reads too slowly (`active`),
   // or goes on reading.
   void SetBackpressure(bool active);
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -62,7 +62,7 @@
   Finish();
 }
 
-void Exchange::OnCallerDisconnected() {
+void Exchange::OnCallerDisconnected(const std::string& reason) {
   if (finished_) {
     return;
   }
@@ -70,7 +70,7 @@
     connection_->Close();
     ReleaseServer(AttemptOutcome::kAbandoned);
   }
-  LogOutcome(GatewayEvent::kRequestAbandoned, 0, "caller disconnected");
+  LogOutcome(GatewayEvent::kRequestAbandoned, 0, reason);
   Finish();
 }
 
