--- /dev/null
+++ b/tests/qh_gateway/caller_connection_test.cpp
@@ -0,0 +1,180 @@
+// Callers' connections that the node closes: callers keep connections open for
+// many requests, and none of these may be read without an answer.
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "tests/qh_gateway/gateway_fixture.h"
+
+namespace qh {
+namespace {
+
+using Then = ScriptedReply::Then;
+using std::chrono::milliseconds;
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+size_t CountOf(const std::string& text, const std::string& part) {
+  size_t count = 0;
+  for (size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + part.size())) {
+    ++count;
+  }
+  return count;
+}
+
+ScriptedServer::Script Always(ScriptedReply reply) {
+  return [reply](size_t, const HttpHead&) { return reply; };
+}
+
+const ScriptedReply kGoodReply{.bytes = StampedAnswer(200, "body")};
+
+std::string SafeRequest(const std::string& id) {
+  return "GET /safe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id + "\r\n\r\n";
+}
+
+std::string UnsafeRequest(const std::string& id, const std::string& body) {
+  return "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+class Fixture : public GatewayFixture {
+ public:
+  // Puts a configuration in force that differs from the current one in its
+  // limits on callers.
+  void SetLimits(uint64_t version, const std::string& limits) {
+    const std::string config = R"({"version":)" + std::to_string(version) +
+                               R"(,"limits":{)" + limits + R"(},"routes":[
+          {"name":"safe","host":"h","pathPrefix":"/safe/","routeKind":"safe",
+           "service":"plain","timeoutMs":600,"targetLatencyMs":100,
+           "anonymous":true},
+          {"name":"unsafe","host":"h","pathPrefix":"/unsafe/",
+           "routeKind":"unsafe","service":"plain","timeoutMs":600,
+           "targetLatencyMs":100,"anonymous":true},
+          {"name":"stream","host":"h","pathPrefix":"/stream/",
+           "routeKind":"stream","service":"chat","timeoutMs":900,
+           "targetLatencyMs":100,"anonymous":true,"gapTargetMs":100}],
+          "services":[{"name":"plain"},{"name":"chat","engine":{"slots":4}}]})";
+    REQUIRE(
+        state.ApplyConfig(codec.read_config(config).value(), MonotonicNow()));
+  }
+
+  // Sends a request on a new connection and waits for its answer.
+  ScriptedCaller& ServeOne() {
+    ScriptedCaller& caller = SendRequest("GET", "/safe/x");
+    REQUIRE(RunUntil([&] { return Has(caller.received(), "body"); }));
+    return caller;
+  }
+};
+
+}  // namespace
+
+// Guards against a close of an idle connection that the caller could not
+// foresee: it reuses the connection while the close is under way.
+TEST_CASE_METHOD(Fixture,
+                 "a caller is told how long it may keep a connection") {
+  AddServer("a", "plain", Always(kGoodReply));
+  const auto [limit_ms, announced] =
+      GENERATE(table<int, std::string>({{15'000, "Keep-Alive: timeout=12\r\n"},
+                                        {3'000, "Keep-Alive: timeout=2\r\n"},
+                                        {200, "Keep-Alive: timeout=1\r\n"}}));
+  SetLimits(4, R"("idleTimeoutMs":)" + std::to_string(limit_ms));
+  CHECK(Has(ServeOne().received(), announced));
+  ScriptedCaller& refused = SendRequest("GET", "/unknown/x");
+  REQUIRE(RunUntil([&] { return Has(refused.received(), "HTTP/1.1 404 "); }));
+  CHECK(Has(refused.received(), announced));
+  ScriptedCaller& last =
+      SendRequest("GET", "/safe/x", "r2", "Connection: close\r\n");
+  REQUIRE(RunUntil([&] { return Has(last.received(), "body"); }));
+  CHECK_FALSE(Has(last.received(), "Keep-Alive"));
+}
+
+// Guards against a node that announces whole seconds and closes before them.
+TEST_CASE_METHOD(Fixture, "a connection stays open as long as announced") {
+  AddServer("a", "plain", Always(kGoodReply));
+  SetLimits(4, R"("idleTimeoutMs":200)");
+  ScriptedCaller& caller = ServeOne();
+  RunFor(milliseconds(980));
+  CHECK_FALSE(caller.closed());
+  caller.Send(SafeRequest("r2"));
+  CHECK(RunUntil([&] { return CountOf(caller.received(), "body") == 2; }));
+}
+
+// Guards against a request that has arrived when the idle timeout expires, is
+// read, and gets no answer.
+TEST_CASE_METHOD(Fixture,
+                 "a request that arrives with the idle timeout is served") {
+  AddServer("a", "plain", Always(kGoodReply));
+  SetLimits(4, R"("idleTimeoutMs":1000)");
+  ScriptedCaller& caller = ServeOne();
+  RunFor(milliseconds(600));
+  caller.Send(SafeRequest("r2"));
+  // The node is held up: the timeout and the request are found together.
+  std::this_thread::sleep_for(milliseconds(1'600));
+  CHECK(RunUntil([&] { return CountOf(caller.received(), "body") == 2; }));
+}
+
+// Guards against closing connections that rest by an earlier, shorter limit.
+TEST_CASE_METHOD(Fixture,
+                 "a raised idle limit holds for idle connections too") {
+  AddServer("a", "plain", Always(kGoodReply));
+  SetLimits(4, R"("idleTimeoutMs":200)");
+  ScriptedCaller& caller = ServeOne();
+  SetLimits(5, R"("idleTimeoutMs":15000)");
+  RunFor(milliseconds(2'200));
+  CHECK_FALSE(caller.closed());
+  caller.Send(SafeRequest("r2"));
+  CHECK(RunUntil([&] { return CountOf(caller.received(), "body") == 2; }));
+}
+
+// Guards against a stopping node that ends connections whose last answer said
+// that they stay open, and reads requests there that it never answers.
+TEST_CASE_METHOD(Fixture,
+                 "a drain serves requests on connections it kept open") {
+  ScriptedServer& server = AddServer(
+      "s", "chat",
+      Always({.bytes = StreamHead() + Events(1, 2), .then = Then::kStall}));
+  AddServer("a", "plain", Always(kGoodReply));
+  ScriptedCaller& caller =
+      SendRequest("POST", "/stream/x", "r1", "Content-Length: 0\r\n");
+  REQUIRE(RunUntil([&] { return Has(caller.received(), "id: 2"); }));
+  state.draining_since = MonotonicNow();
+  server.SendStalled("0\r\n\r\n");
+  REQUIRE(RunUntil([&] { return Has(caller.received(), "0\r\n\r\n"); }));
+  RunFor(milliseconds(50));
+  caller.Send(SafeRequest("r2"));
+  REQUIRE(RunUntil([&] { return Has(caller.received(), "body"); }));
+  CHECK(Has(caller.received(), "Connection: close\r\n"));
+  CHECK(RunUntil([&] { return caller.closed(); }));
+}
+
+// Guards against refusing on open connections what a new configuration allows.
+TEST_CASE_METHOD(Fixture, "new limits on requests hold on open connections") {
+  AddServer("a", "plain", Always(kGoodReply));
+  SetLimits(4, R"("maxBodyBytes":10)");
+  ScriptedCaller& caller = ServeOne();
+  SetLimits(5, R"("maxBodyBytes":1000)");
+  caller.Send(UnsafeRequest("r2", std::string(100, 'x')));
+  CHECK(RunUntil([&] { return CountOf(caller.received(), "body") == 2; }));
+  CHECK_FALSE(Has(caller.received(), "HTTP/1.1 413 "));
+}
+
+// Guards against a final answer that leaves the node at the caller's deadline
+// and so can't arrive before it.
+TEST_CASE_METHOD(Fixture,
+                 "the final answer arrives before the caller's deadline") {
+  AddServer("a", "plain", Always({.then = Then::kStall}));
+  const auto start = std::chrono::steady_clock::now();
+  ScriptedCaller& caller = SendRequest(
+      "POST", "/unsafe/x", "r1", "Content-Length: 0\r\nDeadline-Ms: 300\r\n");
+  REQUIRE(RunUntil([&] { return Has(caller.received(), "\r\n\r\n"); }));
+  const auto waited = std::chrono::steady_clock::now() - start;
+  CHECK(Has(caller.received(), "HTTP/1.1 504 "));
+  CHECK(waited < milliseconds(290));
+  CHECK(waited > milliseconds(200));
+}
+
+}  // namespace qh
