Callers are told how long they may keep an idle connection

Cause: the node closed idle connections after the configured limit without having told callers of it; a request that was on its way met the close, was read while the node waited for the caller's side to end, and was dropped, so that the caller could not know that it had not run. Change: every answer that keeps its connection announces four fifths of the limit (one second at least); the node closes at the limit or a second after the announced time, whichever is later. An idle close leaves unread what comes after it, so that callers see that the request was not seen.

--- a/modules/qh_gateway/forwarding/answer_serialization.cpp
+++ b/modules/qh_gateway/forwarding/answer_serialization.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "qh_net/idle_connection.h"
+
 namespace qh {
 namespace {
 
@@ -19,6 +21,16 @@
   return {text.data(), static_cast<size_t>(size)};
 }
 
+// Says whether, and for how long, the caller may reuse the connection.
+void AppendPersistence(std::string& text,
+                       std::optional<std::chrono::seconds> keep_alive) {
+  if (keep_alive) {
+    AppendKeepAlive(text, *keep_alive);
+  } else {
+    AppendField(text, "Connection", "close");
+  }
+}
+
 std::string StatusLine(int status, std::string_view reason) {
   return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) +
          "\r\n";
@@ -32,7 +44,7 @@
 
 std::string SerializeAnswerHead(const HttpHead& head,
                                 int minor_version,
-                                bool keep_alive,
+                                std::optional<std::chrono::seconds> keep_alive,
                                 bool chunked,
                                 size_t length) {
   std::string text = StatusLine(head.status, head.reason);
@@ -49,9 +61,7 @@
   } else if (minor_version > 0) {
     AppendField(text, "Transfer-Encoding", "chunked");
   }
-  if (!keep_alive) {
-    AppendField(text, "Connection", "close");
-  }
+  AppendPersistence(text, keep_alive);
   return text + "\r\n";
 }
 
@@ -70,9 +80,10 @@
   return minor_version == 0 ? "" : "0\r\n\r\n";
 }
 
-std::string SerializeErrorAnswer(const Error& error,
-                                 const std::vector<HttpField>& fields,
-                                 bool keep_alive) {
+std::string SerializeErrorAnswer(
+    const Error& error,
+    const std::vector<HttpField>& fields,
+    std::optional<std::chrono::seconds> keep_alive) {
   const ErrorAnswer& answer = AnswerFor(error.kind());
   const nlohmann::json problem{{"type", answer.name},
                                {"title", answer.title},
@@ -94,9 +105,7 @@
   }
   AppendField(text, "Content-Type", "application/problem+json");
   AppendField(text, "Content-Length", std::to_string(body.size()));
-  if (!keep_alive) {
-    AppendField(text, "Connection", "close");
-  }
+  AppendPersistence(text, keep_alive);
   return text + "\r\n" + body;
 }
 
--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 
 #include "qh_gateway/forwarding/answer_serialization.h"
+#include "qh_net/idle_connection.h"
 
 namespace qh {
 namespace {
@@ -51,6 +52,11 @@
         if (self->closed_) {
           return;
         }
+        const bool idle_expired = std::exchange(self->idle_expired_, false);
+        if (idle_expired && error == boost::asio::error::operation_aborted) {
+          self->Close(CallerCloseReason::kIdle);
+          return;
+        }
         if (error) {
           self->OnDisconnected(error);
           return;
@@ -122,23 +128,26 @@
   request.value().body = parser_.TakeBody();
   // HTTP/1.0 has no chunked encoding: a stream ends with its connection.
   keep_alive_ = parser_.keep_alive() && parser_.head().minor_version > 0;
-  request.value().keep_alive = keep_alive_;
   const auto weak = weak_from_this();
   SetUnfinished(true);
-  exchange_ =
-      Exchange::Create(state_, std::move(request.value()), MonotonicNow(),
-                       {.write =
-                            [weak](std::string bytes, bool last) {
-                              if (const auto self = weak.lock()) {
-                                self->Write(std::move(bytes), last);
-                              }
-                            },
-                        .abort =
-                            [weak] {
-                              if (const auto self = weak.lock()) {
-                                self->Abort();
-                              }
-                            }});
+  exchange_ = Exchange::Create(
+      state_, std::move(request.value()), MonotonicNow(),
+      {.begin_answer = [weak]() -> std::optional<std::chrono::seconds> {
+         const auto self = weak.lock();
+         return self == nullptr ? std::nullopt : self->BeginAnswer();
+       },
+       .write =
+           [weak](std::string bytes, bool last) {
+             if (const auto self = weak.lock()) {
+               self->Write(std::move(bytes), last);
+             }
+           },
+       .abort =
+           [weak] {
+             if (const auto self = weak.lock()) {
+               self->Abort();
+             }
+           }});
   const auto exchange = exchange_;
   exchange->Start();
 }
@@ -167,14 +176,26 @@
     return;
   }
   keep_alive_ = false;
-  Write(SerializeErrorAnswer(error, {}, false), true);
+  Write(SerializeErrorAnswer(error, {}, std::nullopt), true);
+}
+
+std::optional<std::chrono::seconds> CallerConnection::BeginAnswer() {
+  keep_alive_ = keep_alive_ && !state_.draining_since;
+  if (!keep_alive_) {
+    return std::nullopt;
+  }
+  announced_idle_timeout_ = AnnouncedIdleTimeout(Limits().idle_timeout);
+  return announced_idle_timeout_;
 }
 
 void CallerConnection::ArmReadTimer() {
   const CallerLimits limits = Limits();
-  const Duration timeout = parser_.started() && !parser_.head_done()
-                               ? limits.header_timeout
-                               : limits.idle_timeout;
+  Duration timeout = limits.idle_timeout;
+  if (!parser_.started()) {
+    timeout = IdleCloseDelay(announced_idle_timeout_, limits.idle_timeout);
+  } else if (!parser_.head_done()) {
+    timeout = limits.header_timeout;
+  }
   timer_.expires_after(timeout);
   timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& error) {
@@ -197,7 +218,21 @@
         Error(ErrorKind::kRequestTimeout, "request not received in time"));
     return;
   }
-  CloseGracefully(CallerCloseReason::kIdle);
+  CloseIdle();
+}
+
+// Bytes that have not been read yet are left unread: the close then shows the
+// caller that the node has not seen its request.
+void CallerConnection::CloseIdle() {
+  if (!read_pending_) {
+    Close(CallerCloseReason::kIdle);
+    return;
+  }
+  // The read may have received a request that is not handled yet; its handler
+  // decides.
+  idle_expired_ = true;
+  boost::system::error_code ignored;
+  socket_.cancel(ignored);
 }
 
 void CallerConnection::Write(std::string bytes, bool last) {
--- a/modules/qh_gateway/forwarding/caller_connection.h
+++ b/modules/qh_gateway/forwarding/caller_connection.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "qh_core/text/enum_table.h"
@@ -79,6 +80,12 @@
   // Bounds the wait for the next request and the time to receive it.
   void ArmReadTimer();
   void OnTimeout();
+  // Closes the connection unless a request has arrived.
+  void CloseIdle();
+
+  // Decides whether the connection stays open after the answer that begins, and
+  // returns the idle time to announce if it does.
+  std::optional<std::chrono::seconds> BeginAnswer();
 
   // Queues bytes of the current answer; `last` ends the answer.
   void Write(std::string bytes, bool last);
@@ -107,6 +114,11 @@
   // The last bytes of the current answer are written or queued.
   bool answer_complete_ = false;
   bool keep_alive_ = true;
+  // Idle time announced in the last answer; zero before the first one.
+  std::chrono::seconds announced_idle_timeout_{0};
+  // The idle timeout has passed; the connection closes unless a request has
+  // arrived.
+  bool idle_expired_ = false;
   // The exchange was asked to stop reading from its server.
   bool backpressure_ = false;
   // Whether this connection counts in GatewayState::unfinished_answers.
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -25,6 +25,10 @@
  public:
   // Receives the answer.
   struct AnswerSink {
+    // Called once, before the head of the answer is written. Returns how long
+    // the caller may then keep the connection idle, or nothing if the
+    // connection closes after the answer.
+    std::function<std::optional<std::chrono::seconds>()> begin_answer;
     // Writes bytes of the answer; `last` marks the end of the answer.
     std::function<void(std::string bytes, bool last)> write;
     // Closes the caller's connection because the answer can't be completed; the
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -8,9 +8,8 @@
 
 void Exchange::ForwardHead(const HttpHead& head, bool chunked, size_t length) {
   forwarding_ = true;
-  const bool keep_alive = request_.keep_alive && !state_.draining_since;
-  sink_.write(SerializeAnswerHead(head, request_.minor_version, keep_alive,
-                                  chunked, length),
+  sink_.write(SerializeAnswerHead(head, request_.minor_version,
+                                  sink_.begin_answer(), chunked, length),
               false);
 }
 
@@ -43,11 +42,10 @@
   if (answer.executed == Executed::kNo && may_have_run_) {
     reported = Error(ErrorKind::kServerFailed, error.detail());
   }
-  const bool keep_alive = request_.keep_alive && !state_.draining_since;
-  sink_.write(
-      SerializeErrorAnswer(
-          reported, state_.codec.own_answer_fields(request_.id), keep_alive),
-      true);
+  sink_.write(SerializeErrorAnswer(reported,
+                                   state_.codec.own_answer_fields(request_.id),
+                                   sink_.begin_answer()),
+              true);
   const ErrorAnswer& reported_answer = AnswerFor(reported.kind());
   LogOutcome(reported_answer.executed == Executed::kNo
                  ? GatewayEvent::kRequestRefused
--- a/modules/qh_gateway/model/caller_request.h
+++ b/modules/qh_gateway/model/caller_request.h
@@ -49,7 +49,6 @@
   // Header fields that are forwarded to the server unchanged.
   std::vector<HttpField> forwarded_fields;
   std::string body;
-  bool keep_alive = true;
   // Minor version of HTTP/1.
   int minor_version = 1;
 
--- a/modules/qh_net/qh_net.h
+++ b/modules/qh_net/qh_net.h
@@ -12,6 +12,7 @@
 // clang-format off
 #include "qh_net/http_head.h"
 #include "qh_net/http_parser.h"
+#include "qh_net/idle_connection.h"
 #include "qh_net/socket_options.h"
 #include "qh_net/http_client.h"
 #include "qh_net/http_service.h"
