A raised idle limit holds for connections that are idle already

Cause: the timer of an idle connection was set once, with the limit of that moment; after a change of the configuration that raised the limit the node closed connections that callers may still use, and a timer that had expired while the connection was in use could close it early. Now the timeout is checked again when it expires. Test: "a raised idle limit holds for idle connections too" failed before.

--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -190,13 +190,12 @@
 
 void CallerConnection::ArmReadTimer() {
   const CallerLimits limits = Limits();
-  Duration timeout = limits.idle_timeout;
   if (!parser_.started()) {
-    timeout = IdleCloseDelay(announced_idle_timeout_, limits.idle_timeout);
-  } else if (!parser_.head_done()) {
-    timeout = limits.header_timeout;
+    timer_.expires_after(idle_since_ + IdleTimeout() - MonotonicNow());
+  } else {
+    timer_.expires_after(parser_.head_done() ? limits.idle_timeout
+                                             : limits.header_timeout);
   }
-  timer_.expires_after(timeout);
   timer_.async_wait(
       [self = shared_from_this()](const boost::system::error_code& error) {
         if (!error && !self->closed_) {
@@ -218,9 +217,18 @@
         Error(ErrorKind::kRequestTimeout, "request not received in time"));
     return;
   }
+  if (MonotonicNow() < idle_since_ + IdleTimeout()) {
+    // The configuration has raised the limit meanwhile.
+    ArmReadTimer();
+    return;
+  }
   CloseIdle();
 }
 
+Duration CallerConnection::IdleTimeout() const {
+  return IdleCloseDelay(announced_idle_timeout_, Limits().idle_timeout);
+}
+
 // Bytes that have not been read yet are left unread: the close then shows the
 // caller that the node has not seen its request.
 void CallerConnection::CloseIdle() {
--- a/modules/qh_gateway/forwarding/caller_connection.h
+++ b/modules/qh_gateway/forwarding/caller_connection.h
@@ -80,6 +80,8 @@
   // Bounds the wait for the next request and the time to receive it.
   void ArmReadTimer();
   void OnTimeout();
+  // How long the connection stays open without a request.
+  Duration IdleTimeout() const;
   // Closes the connection unless a request has arrived.
   void CloseIdle();
 
