A draining node serves requests on connections that it kept open

Cause: a node that began to stop while an answer was under way closed the connection after it, though the answer's head had said that it stays open; the caller's next request was read and dropped. Now one place decides, when the answer begins, whether the connection stays open, and the node keeps to it: the next answer announces the close. Test: "a drain serves requests on connections it kept open" failed before.

--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -318,10 +318,8 @@
   backpressure_ = false;
   read_ahead_ = 0;
   idle_since_ = MonotonicNow();
-  if (!keep_alive_ || state_.draining_since || !parser_.Next()) {
-    CloseGracefully(keep_alive_ && state_.draining_since
-                        ? CallerCloseReason::kDraining
-                        : CallerCloseReason::kAnswered);
+  if (!keep_alive_ || !parser_.Next()) {
+    CloseGracefully(CallerCloseReason::kAnswered);
     return;
   }
   ArmReadTimer();
--- a/modules/qh_gateway/forwarding/caller_connection.h
+++ b/modules/qh_gateway/forwarding/caller_connection.h
@@ -25,8 +25,6 @@
   kIdle,
   // The last answer had announced the close.
   kAnswered,
-  // The node is stopping.
-  kDraining,
   // An answer could not be completed.
   kAborted,
   // The caller closed its side.
@@ -40,7 +38,6 @@
     {CallerCloseReason::kNone, "none"},
     {CallerCloseReason::kIdle, "idle"},
     {CallerCloseReason::kAnswered, "answered"},
-    {CallerCloseReason::kDraining, "draining"},
     {CallerCloseReason::kAborted, "aborted"},
     {CallerCloseReason::kCaller, "caller"},
     {CallerCloseReason::kNetwork, "network"},
