New limits on requests hold on open connections

Cause: a connection's parser took the limits in force when the connection was opened, so that after a change of the configuration callers were answered 413 or 431 for what it allows, as long as they kept the connection. Each request is now read under the limits in force when its first byte is parsed. Test: "new limits on requests hold on open connections" failed before.

--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -26,17 +26,16 @@
     : state_(state),
       socket_(std::move(socket)),
       timer_(state.io),
-      parser_(MakeParser()) {}
+      parser_(MessageKind::kRequest, RequestLimits()) {}
 
 CallerLimits CallerConnection::Limits() const {
   return state_.config == nullptr ? CallerLimits() : state_.config->limits();
 }
 
-HttpParser CallerConnection::MakeParser() const {
+ParserLimits CallerConnection::RequestLimits() const {
   const CallerLimits limits = Limits();
-  return {MessageKind::kRequest,
-          {.header_bytes = limits.max_header_bytes,
-           .body_bytes = limits.max_body_bytes}};
+  return {.header_bytes = limits.max_header_bytes,
+          .body_bytes = limits.max_body_bytes};
 }
 
 void CallerConnection::Read() {
@@ -99,6 +98,9 @@
     read_ahead_ += size;
   }
   const bool is_first_read = !parser_.started();
+  if (is_first_read) {
+    parser_.SetLimits(RequestLimits());
+  }
   const auto fed = parser_.Feed({read_buffer_.data(), size});
   if (!fed) {
     RejectRequest(fed.error());
@@ -318,6 +320,7 @@
   backpressure_ = false;
   read_ahead_ = 0;
   idle_since_ = MonotonicNow();
+  parser_.SetLimits(RequestLimits());
   if (!keep_alive_ || !parser_.Next()) {
     CloseGracefully(CallerCloseReason::kAnswered);
     return;
--- a/modules/qh_gateway/forwarding/caller_connection.h
+++ b/modules/qh_gateway/forwarding/caller_connection.h
@@ -60,7 +60,9 @@
   CallerConnection(GatewayState& state, TcpSocket socket);
 
   CallerLimits Limits() const;
-  HttpParser MakeParser() const;
+  // Limits in force now; each request is read under those in force when its
+  // first byte is parsed.
+  ParserLimits RequestLimits() const;
   void Read();
   void OnBytes(size_t size);
   void OnDisconnected(const boost::system::error_code& error);
--- a/modules/qh_net/http_parser.cpp
+++ b/modules/qh_net/http_parser.cpp
@@ -165,6 +165,13 @@
 HttpParser::HttpParser(HttpParser&&) noexcept = default;
 HttpParser& HttpParser::operator=(HttpParser&&) noexcept = default;
 
+void HttpParser::SetLimits(const ParserLimits& limits) {
+  impl_->limits = limits;
+  if (!impl_->started) {
+    impl_->Visit([&](auto& parser) { impl_->Prepare(parser); });
+  }
+}
+
 Result<void> HttpParser::Feed(std::string_view bytes) {
   impl_->pending.append(bytes);
   return impl_->Visit([&](auto& parser) { return impl_->Parse(parser); });
--- a/modules/qh_net/http_parser.h
+++ b/modules/qh_net/http_parser.h
@@ -28,6 +28,9 @@
   HttpParser(HttpParser&&) noexcept;
   HttpParser& operator=(HttpParser&&) noexcept;
 
+  // Sets the limits of the messages of which no byte has been parsed yet.
+  void SetLimits(const ParserLimits& limits);
+
   // Parses bytes received from the connection, up to the end of the current
   // message. Fails with kHeadersTooLarge, kBodyTooLarge or kMalformedRequest;
   // after a failure the connection can't be used any more.
