A stopping node waits for requests that are being received

Cause: only requests that had arrived whole counted as unfinished, so that a node could stop between two parts of a request, or before a refusal was written. A connection now counts from a request's first byte to the end of its answer. Test: "a request that is being received is unfinished" failed before.

--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -101,6 +101,8 @@
   if (is_first_read) {
     parser_.SetLimits(RequestLimits());
   }
+  // A stopping node waits for the rest of the request.
+  SetUnfinished(true);
   const auto fed = parser_.Feed({read_buffer_.data(), size});
   if (!fed) {
     RejectRequest(fed.error());
@@ -131,7 +133,6 @@
   // HTTP/1.0 has no chunked encoding: a stream ends with its connection.
   keep_alive_ = parser_.keep_alive() && parser_.head().minor_version > 0;
   const auto weak = weak_from_this();
-  SetUnfinished(true);
   exchange_ = Exchange::Create(
       state_, std::move(request.value()), MonotonicNow(),
       {.begin_answer = [weak]() -> std::optional<std::chrono::seconds> {
@@ -325,6 +326,7 @@
     CloseGracefully(CallerCloseReason::kAnswered);
     return;
   }
+  SetUnfinished(parser_.started());
   ArmReadTimer();
   StartBufferedRequest();
   Read();
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -71,7 +71,8 @@
   size_t peer_count = 0;
   // Requests that were started and are not finished.
   size_t open_requests = 0;
-  // Requests whose answer is not completely written to the caller's socket.
+  // Callers' connections with a request of which some bytes have arrived and
+  // whose answer is not completely written to the caller's socket.
   size_t unfinished_answers = 0;
   // Called with the time left when a server starts to drain before it is
   // reclaimed. By server, then by the request that runs there.
--- a/tests/qh_gateway/caller_connection_test.cpp
+++ b/tests/qh_gateway/caller_connection_test.cpp
@@ -151,6 +151,24 @@
   CHECK(RunUntil([&] { return caller.closed(); }));
 }
 
+// Guards against a node that stops between two parts of a request, which is
+// then read in part and gets no answer.
+TEST_CASE_METHOD(Fixture, "a request that is being received is unfinished") {
+  AddServer("a", "plain", Always(kGoodReply));
+  ScriptedCaller& caller = ServeOne();
+  REQUIRE(state.unfinished_answers == 0);
+  const std::string request = UnsafeRequest("r2", "0123456789");
+  const std::string pipelined = request + request.substr(0, 20);
+  caller.Send(request.substr(0, request.size() / 2));
+  CHECK(RunUntil([&] { return state.unfinished_answers == 1; }));
+  caller.Send(pipelined.substr(request.size() / 2));
+  REQUIRE(RunUntil([&] { return CountOf(caller.received(), "body") == 2; }));
+  RunFor(milliseconds(20));
+  CHECK(state.unfinished_answers == 1);
+  caller.Disconnect();
+  CHECK(RunUntil([&] { return state.unfinished_answers == 0; }));
+}
+
 // Guards against refusing on open connections what a new configuration allows.
 TEST_CASE_METHOD(Fixture, "new limits on requests hold on open connections") {
   AddServer("a", "plain", Always(kGoodReply));
