The control service announces how long connections stay open

The cause of the incident elsewhere: the service that tells callers which nodes to use closed idle connections after 30 s without having told them. Test: "the control service announces how long connections stay open" covers it; it asks for the field that no answer had.

--- a/modules/qh_net/http_service.cpp
+++ b/modules/qh_net/http_service.cpp
@@ -6,6 +6,7 @@
 
 #include "qh_core/log/log_line.h"
 #include "qh_net/http_parser.h"
+#include "qh_net/idle_connection.h"
 
 namespace qh {
 namespace {
@@ -20,7 +21,9 @@
                      std::string(ReasonPhrase(answer.status)) + "\r\n";
   AppendField(text, "Content-Type", answer.content_type);
   AppendField(text, "Content-Length", std::to_string(answer.body.size()));
-  if (!keep_alive) {
+  if (keep_alive) {
+    AppendKeepAlive(text, AnnouncedIdleTimeout(kIdleTimeout));
+  } else {
     AppendField(text, "Connection", "close");
   }
   return text + "\r\n" + answer.body;
