Requests outlast a server that is silent for 2.5 s

Callers whose server acknowledged nothing for a while and then went on got a 502, or a stream cut within the answer. Cause: every connection had a TCP user timeout of 2 s and keep-alive probes from 2 s on, also while it carried a request. The kernel ended it after 2.4 s for a request sent into the silence, and about 3.0 s after the server was last heard otherwise (ETIMEDOUT). Change: while a connection to a server carries a request, its user timeout is 4.5 s, and it is probed each second, so that by calculation a silence of 3 s ends before the decisive probe. A server that stays silent is noticed 5 s after it was last heard. Idle connections, those to callers and to the store, and those between nodes keep the short detection.

--- a/modules/qh_gateway/forwarding/server_connection.cpp
+++ b/modules/qh_gateway/forwarding/server_connection.cpp
@@ -77,6 +77,8 @@
   head_delivered_ = false;
   request_written_ = false;
   read_paused_ = false;
+  // The request may be lost if the connection ends before the answer.
+  SetSilenceTolerance(socket_, SilenceTolerance::kLong);
   boost::asio::async_write(
       socket_, boost::asio::buffer(write_buffer_),
       [self = shared_from_this()](const boost::system::error_code& error,
@@ -231,6 +233,7 @@
   if (keep) {
     state_ = State::kIdle;
     read_paused_ = false;
+    SetSilenceTolerance(socket_, SilenceTolerance::kShort);
   } else {
     Close();
   }
--- a/modules/qh_net/socket_options.cpp
+++ b/modules/qh_net/socket_options.cpp
@@ -13,12 +13,18 @@
 using TcpOption =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
 
-// A connection ends if sent data stays unacknowledged for this long.
+// A connection ends if sent data stays unacknowledged for this long, or at the
+// first keep-alive probe that is due after the peer was silent for this long.
 constexpr int kUserTimeoutMs = 2'000;
-// An idle connection is probed after kKeepAliveIdleSeconds, and ends after
-// kKeepAliveProbes probes without a reply.
+// Between two probes, so that a peer that goes on can acknowledge the last one.
+constexpr int kLongUserTimeoutMs = 4'500;
+// A connection on which nothing arrives is probed after this time.
 constexpr int kKeepAliveIdleSeconds = 2;
+// Short, so that little of the tolerance has passed when a silence begins.
+constexpr int kLongKeepAliveIdleSeconds = 1;
 constexpr int kKeepAliveIntervalSeconds = 1;
+// Unanswered probes that end the connection; Linux only counts them if there is
+// no TCP_USER_TIMEOUT.
 constexpr int kKeepAliveProbes = 2;
 // Connections that may wait to be accepted.
 constexpr int kBacklog = 1'024;
@@ -29,11 +35,20 @@
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
-  socket.set_option(TcpOption<TCP_KEEPIDLE>(kKeepAliveIdleSeconds), ignored);
   socket.set_option(TcpOption<TCP_KEEPINTVL>(kKeepAliveIntervalSeconds),
                     ignored);
   socket.set_option(TcpOption<TCP_KEEPCNT>(kKeepAliveProbes), ignored);
-  socket.set_option(TcpOption<TCP_USER_TIMEOUT>(kUserTimeoutMs), ignored);
+  SetSilenceTolerance(socket, SilenceTolerance::kShort);
+}
+
+void SetSilenceTolerance(TcpSocket& socket, SilenceTolerance tolerance) {
+  const bool is_long = tolerance == SilenceTolerance::kLong;
+  const int user_timeout_ms = is_long ? kLongUserTimeoutMs : kUserTimeoutMs;
+  const int idle_seconds =
+      is_long ? kLongKeepAliveIdleSeconds : kKeepAliveIdleSeconds;
+  boost::system::error_code ignored;
+  socket.set_option(TcpOption<TCP_USER_TIMEOUT>(user_timeout_ms), ignored);
+  socket.set_option(TcpOption<TCP_KEEPIDLE>(idle_seconds), ignored);
 }
 
 Result<tcp::endpoint> ToEndpoint(const Address& address) {
--- a/modules/qh_net/socket_options.h
+++ b/modules/qh_net/socket_options.h
@@ -17,10 +17,23 @@
 using TcpSocket = boost::asio::ip::tcp::socket;
 using TcpAcceptor = boost::asio::ip::tcp::acceptor;
 
-// Sets TCP_NODELAY, keep-alive probes and TCP_USER_TIMEOUT on `socket`. Errors
-// are ignored.
+// How long a connection bears a peer that acknowledges nothing, neither data
+// nor keep-alive probes.
+enum class SilenceTolerance {
+  // Up to 3 s, to detect unresponsive peers soon.
+  kShort,
+  // Up to 5 s, for peers that may fall silent for 3 s and go on.
+  kLong,
+};
+
+// Sets TCP_NODELAY, keep-alive probes and SilenceTolerance::kShort on `socket`.
+// Errors are ignored.
 void TuneSocket(TcpSocket& socket);
 
+// Changes the tolerance of a socket that TuneSocket was called for. Errors are
+// ignored.
+void SetSilenceTolerance(TcpSocket& socket, SilenceTolerance tolerance);
+
 // Returns `address` as an endpoint. Fails with kConfigInvalid if its host is
 // not an IP address.
 Result<boost::asio::ip::tcp::endpoint> ToEndpoint(const Address& address);
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -1,7 +1,11 @@
 #include "tests/qh_gateway/gateway_fixture.h"
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <system_error>
 
 #include "qh_gateway/forwarding/answer_serialization.h"
 
@@ -43,6 +47,17 @@
   return text;
 }
 
+// Attaches a packet filter that drops every segment received by the socket, or
+// detaches it. Sockets accepted later inherit the filter of their listener.
+void SetDropping(int socket, bool dropping) {
+  sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{.len = 1, .filter = &drop};
+  const int option = dropping ? SO_ATTACH_FILTER : SO_DETACH_FILTER;
+  if (setsockopt(socket, SOL_SOCKET, option, &program, sizeof(program)) != 0) {
+    throw std::system_error(errno, std::generic_category(), "packet filter");
+  }
+}
+
 }  // namespace
 
 struct ScriptedServer::Connection {
@@ -105,6 +120,16 @@
   }
 }
 
+void ScriptedServer::SetSilent(bool silent) {
+  SetDropping(acceptor_.native_handle(), silent);
+  for (const auto& weak : open_) {
+    const auto connection = weak.lock();
+    if (connection != nullptr && connection->socket.is_open()) {
+      SetDropping(connection->socket.native_handle(), silent);
+    }
+  }
+}
+
 void ScriptedServer::Accept() {
   acceptor_.async_accept(
       [this](const boost::system::error_code& error, TcpSocket socket) {
--- a/tests/qh_gateway/gateway_fixture.h
+++ b/tests/qh_gateway/gateway_fixture.h
@@ -66,6 +66,10 @@
   void EndStalled();
   // Sends `bytes` on every connection that is stalled (kStall).
   void SendStalled(const std::string& bytes);
+  // While `silent`, every TCP segment sent to the server is dropped, so that it
+  // neither accepts connections nor receives or acknowledges anything. What it
+  // sends itself still arrives.
+  void SetSilent(bool silent);
   // Stops listening and resets all connections.
   void Crash();
 
