A node about to stop refuses what it can't finish

Cause: a draining node took requests until it ended, also those whose deadline lay beyond its end, which then got neither an answer nor a refusal; only streams were refused. Now such a request is refused at once as not run. Found by the reviewer's reading.

--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -15,9 +15,6 @@
 // A longer time would only withhold capacity while nodes are stopped one after
 // the other.
 constexpr Duration kLocateTtlSlack = std::chrono::milliseconds(700);
-// A stopping node ends this long before the grace period is over and the
-// process is killed.
-constexpr Duration kStopMargin = std::chrono::milliseconds(500);
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kNotReady = 503;
@@ -280,7 +277,7 @@
   const Duration stopping = now - *state_.draining_since;
   const bool drained = state_.unfinished_answers == 0 &&
                        stopping >= state_.settings.locate_ttl + kLocateTtlSlack;
-  if (!drained && stopping < state_.settings.stop_grace - kStopMargin) {
+  if (!drained && now < *state_.StopTime()) {
     return;
   }
   state_.log.Write(LogLine(ToName(GatewayEvent::kStopped))
--- a/modules/qh_gateway/forwarding/exchange_admission.cpp
+++ b/modules/qh_gateway/forwarding/exchange_admission.cpp
@@ -53,10 +53,11 @@
   const bool late_stream =
       is_stream() && state_.draining_since &&
       received_ - *state_.draining_since > kStreamGracePeriod;
-  if (late_stream) {
-    AnswerWithError(
-        Error(ErrorKind::kDraining, "node is draining; new streams are refused")
-            .WithRetryAfter(kDrainingRetryAfter));
+  const bool outlives_node =
+      !is_stream() && state_.draining_since && deadline_ > *state_.StopTime();
+  if (late_stream || outlives_node) {
+    AnswerWithError(Error(ErrorKind::kDraining, "node is about to stop")
+                        .WithRetryAfter(kDrainingRetryAfter));
     return false;
   }
   return true;
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -55,6 +55,13 @@
   return true;
 }
 
+std::optional<TimePoint> GatewayState::StopTime() const {
+  if (!draining_since) {
+    return std::nullopt;
+  }
+  return *draining_since + settings.stop_grace - kStopMargin;
+}
+
 void GatewayState::OnServerAnswer(const ServerProcess& process,
                                   const AnswerTraits& traits) {
   const TimePoint now = MonotonicNow();
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -26,6 +26,10 @@
 
 // Not thread-safe; used on the thread of the io_context only.
 struct GatewayState {
+  // A stopping node ends this long before the grace period is over and the
+  // process is killed.
+  static constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+
   GatewayState(boost::asio::io_context& io_context,
                const WireCodec& wire_codec,
                const GatewaySettings& gateway_settings,
@@ -39,6 +43,9 @@
   // A server's answer arrived: notes what the server says of itself.
   void OnServerAnswer(const ServerProcess& process, const AnswerTraits& traits);
 
+  // When this node ends at the latest; nothing while it isn't draining.
+  std::optional<TimePoint> StopTime() const;
+
   // Number of nodes that share the deployment's budgets, including this one.
   size_t node_count() const { return peer_count + 1; }
 
