--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -94,12 +94,23 @@
     Read();
     return;
   }
+  if (rejected_) {
+    // What follows a rejected request can't be told apart from its rest.
+    Read();
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  if (read_ahead_ == 0) {
+    read_ahead_since_ = now;
+  }
   if (exchange_ != nullptr) {
     read_ahead_ += size;
   }
   const bool is_first_read = !parser_.started();
+  const bool had_head = parser_.head_done();
   if (is_first_read) {
     parser_.SetLimits(RequestLimits());
+    request_began_at_ = now;
   }
   // A stopping node waits for the rest of the request.
   SetUnfinished(true);
@@ -108,7 +119,7 @@
     RejectRequest(fed.error());
     return;
   }
-  if (is_first_read) {
+  if (is_first_read || had_head != parser_.head_done()) {
     ArmReadTimer();
   }
   StartBufferedRequest();
@@ -116,7 +127,8 @@
 }
 
 void CallerConnection::StartBufferedRequest() {
-  if (exchange_ == nullptr && !closed_ && !lingering_ && parser_.done()) {
+  if (exchange_ == nullptr && !closed_ && !lingering_ && !rejected_ &&
+      parser_.done()) {
     StartExchange();
   }
 }
@@ -130,6 +142,10 @@
     return;
   }
   request.value().body = parser_.TakeBody();
+  if (auto& deadline = request.value().deadline) {
+    // The caller's wait began when it sent the request.
+    *deadline -= MonotonicNow() - request_began_at_;
+  }
   // HTTP/1.0 has no chunked encoding: a stream ends with its connection.
   keep_alive_ = parser_.keep_alive() && parser_.head().minor_version > 0;
   const auto weak = weak_from_this();
@@ -171,13 +187,7 @@
                        .With("status", AnswerFor(error.kind()).status)
                        .With("reason", error.detail()),
                    GatewayEvent::kRequestRefused);
-  if (exchange_ != nullptr) {
-    // The bytes arrived during an exchange: finish its answer, then close. The
-    // raised read_ahead_ stops further reads.
-    keep_alive_ = false;
-    read_ahead_ = kMaxReadAheadBytes + 1;
-    return;
-  }
+  rejected_ = true;
   keep_alive_ = false;
   Write(SerializeErrorAnswer(error, {}, std::nullopt), true);
 }
@@ -212,7 +222,9 @@
     Close(close_reason_);
     return;
   }
-  if (exchange_ != nullptr) {
+  // A timer that was armed again can't recall a handler that is queued already.
+  const bool expired = timer_.expiry() <= std::chrono::steady_clock::now();
+  if (exchange_ != nullptr || rejected_ || !expired) {
     return;
   }
   if (parser_.started()) {
@@ -321,11 +333,17 @@
   backpressure_ = false;
   read_ahead_ = 0;
   idle_since_ = MonotonicNow();
-  parser_.SetLimits(RequestLimits());
-  if (!keep_alive_ || !parser_.Next()) {
+  if (!keep_alive_) {
     CloseGracefully(CallerCloseReason::kAnswered);
     return;
   }
+  parser_.SetLimits(RequestLimits());
+  request_began_at_ = read_ahead_since_;
+  const auto next = parser_.Next();
+  if (!next) {
+    RejectRequest(next.error());
+    return;
+  }
   SetUnfinished(parser_.started());
   ArmReadTimer();
   StartBufferedRequest();
--- a/modules/qh_gateway/forwarding/caller_connection.h
+++ b/modules/qh_gateway/forwarding/caller_connection.h
@@ -124,6 +124,8 @@
   bool backpressure_ = false;
   // Whether this connection counts in GatewayState::unfinished_answers.
   bool counted_unfinished_ = false;
+  // A request was rejected; nothing after its first bytes is read as a request.
+  bool rejected_ = false;
   // Half-closed; input is discarded until the caller closes.
   bool lingering_ = false;
   bool closed_ = false;
@@ -134,6 +136,11 @@
   TimePoint idle_since_ = MonotonicNow();
   // Bytes received since the current exchange started.
   size_t read_ahead_ = 0;
+  // When the first of these bytes arrived, or the last bytes before the
+  // exchange, which may hold the beginning of the next request.
+  TimePoint read_ahead_since_;
+  // When the first byte of the current request arrived.
+  TimePoint request_began_at_;
   std::array<char, 16U << 10U> read_buffer_{};
 };
 
--- a/modules/qh_gateway/model/caller_request.h
+++ b/modules/qh_gateway/model/caller_request.h
@@ -31,7 +31,7 @@
   std::string host;
   // The caller's API key; empty without one.
   std::string key;
-  // How long the caller waits, from when the request was received; nullopt when
+  // How long the caller still waits when the request is complete; nullopt when
   // the caller gave no deadline.
   std::optional<Duration> deadline;
   // Token counts; used for model engines only.
--- a/tests/qh_gateway/caller_connection_test.cpp
+++ b/tests/qh_gateway/caller_connection_test.cpp
@@ -195,4 +195,103 @@
   CHECK(waited > milliseconds(200));
 }
 
+// The timer that has expired is queued behind the request's first bytes.
+TEST_CASE_METHOD(Fixture, "a long request that arrives with the idle timeout") {
+  const size_t size = GENERATE(20'000, 40'000, 100'000);
+  CAPTURE(size);
+  ScriptedServer& server = AddServer("a", "plain", Always(kGoodReply));
+  SetLimits(4, R"("idleTimeoutMs":1000,"maxBodyBytes":1000000)");
+  ScriptedCaller& caller = ServeOne();
+  RunFor(milliseconds(600));
+  caller.Send(UnsafeRequest("r2", std::string(size, 'x')));
+  std::this_thread::sleep_for(milliseconds(1'600));
+  RunFor(milliseconds(300));
+  CAPTURE(caller.received(), server.requests().size());
+  CHECK_FALSE(Has(caller.received(), "HTTP/1.1 408 "));
+  CHECK(CountOf(caller.received(), "HTTP/1.1 ") == 2);
+  // Refused means: not run.
+  CHECK_FALSE((Has(caller.received(), "HTTP/1.1 408 ") &&
+               server.requests().size() > 1));
+}
+
+// The rest of a request arrives while its 408 is under way.
+TEST_CASE_METHOD(Fixture,
+                 "a request refused for its header time does not run") {
+  ScriptedServer& server = AddServer("a", "plain", Always(kGoodReply));
+  SetLimits(4, R"("headerTimeoutMs":300,"idleTimeoutMs":5000)");
+  ScriptedCaller& caller = ServeOne();
+  caller.Send("POST /unsafe/x HTTP/1.1\r\nHost: h\r\n");
+  RunFor(milliseconds(100));
+  std::this_thread::sleep_for(milliseconds(300));
+  const std::string rest = "Request-Id: r2\r\nContent-Length: 40000\r\n\r\n" +
+                           std::string(40'000, 'x');
+  caller.Send(rest);
+  RunFor(milliseconds(300));
+  CAPTURE(caller.received(), server.requests().size());
+  CHECK_FALSE((Has(caller.received(), "HTTP/1.1 408 ") &&
+               server.requests().size() > 1));
+  CHECK(CountOf(caller.received(), "HTTP/1.1 ") == 2);
+}
+
+// A pipelined request that can't be read is closed without a refusal.
+TEST_CASE_METHOD(Fixture, "a bad pipelined request is refused") {
+  AddServer("a", "plain", Always(kGoodReply));
+  SetLimits(4, R"("maxBodyBytes":10)");
+  ScriptedCaller& caller =
+      SendRequest("GET", "/safe/x", "r1",
+                  "\r\n" + UnsafeRequest("r2", std::string(100, 'x')));
+  RunFor(milliseconds(300));
+  CAPTURE(caller.received());
+  CHECK(Has(caller.received(), "HTTP/1.1 413 "));
+}
+
+// A pipelined request's deadline starts when the one before it has ended.
+TEST_CASE_METHOD(Fixture, "a request's time while it waits") {
+  AddServer("a", "plain", Always({.then = Then::kStall}));
+  SetLimits(4, R"("maxBodyBytes":1000)");
+  const auto start = std::chrono::steady_clock::now();
+  ScriptedCaller& caller = AddCaller();
+  const std::string request =
+      "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r%\r\n"
+      "Deadline-Ms: 400\r\nContent-Length: 0\r\n\r\n";
+  caller.Send(request + request);
+  RunUntil([&] { return CountOf(caller.received(), "HTTP/1.1 504") == 2; });
+  const auto waited = std::chrono::steady_clock::now() - start;
+  CAPTURE(caller.received(),
+          ToMilliseconds(std::chrono::duration_cast<Duration>(waited)));
+  CHECK(waited < milliseconds(500));
+}
+
+// A slow upload: the deadline starts with the request's last byte.
+TEST_CASE_METHOD(Fixture, "a request's time while it arrives") {
+  AddServer("a", "plain", Always({.then = Then::kStall}));
+  SetLimits(4, R"("maxBodyBytes":1000)");
+  const auto start = std::chrono::steady_clock::now();
+  ScriptedCaller& caller = AddCaller();
+  caller.Send(
+      "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n"
+      "Deadline-Ms: 300\r\nContent-Length: 4\r\n\r\nab");
+  RunFor(milliseconds(150));
+  caller.Send("cd");
+  RunUntil([&] { return Has(caller.received(), "HTTP/1.1 504"); });
+  const auto waited = std::chrono::steady_clock::now() - start;
+  CAPTURE(ToMilliseconds(std::chrono::duration_cast<Duration>(waited)));
+  CHECK(waited < milliseconds(300));
+}
+
+// Late in its grace time a node takes requests that it can't end.
+TEST_CASE_METHOD(Fixture, "a node about to end takes requests") {
+  ScriptedServer& server =
+      AddServer("a", "plain", Always({.then = Then::kStall}));
+  SetLimits(4, R"("maxBodyBytes":1000)");
+  // 100 ms before the process ends.
+  state.draining_since =
+      MonotonicNow() - (state.settings.stop_grace - milliseconds(600));
+  ScriptedCaller& caller = SendRequest("GET", "/safe/x");
+  RunFor(milliseconds(100));
+  CAPTURE(caller.received());
+  CHECK(server.requests().empty());
+  CHECK(Has(caller.received(), "HTTP/1.1 503 "));
+}
+
 }  // namespace qh
