A stream without events is answered while its caller waits

Callers leave a stream that has no event after the longest of 2 s, four times the target of the first event and eight times that of the gaps; the node answered at the deadline. Now the 504 leaves 25 ms before the caller would go. A stream that has begun goes on until its deadline.

--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -25,6 +25,11 @@
 // deadline that is kept for it.
 constexpr Duration kAnswerDeliveryTime = std::chrono::milliseconds(25);
 constexpr int kAnswerDeliveryShare = 10;
+// Callers give up a stream that has no event for the longest of this time and
+// these multiples of the route's targets for the first event and for gaps.
+constexpr Duration kMinCallerPatience = std::chrono::seconds(2);
+constexpr int kPatienceLatencyFactor = 4;
+constexpr int kPatienceGapFactor = 8;
 // No attempt is started with less time left than this.
 constexpr auto kMinAttemptTime = std::chrono::milliseconds(15);
 constexpr auto kMinRetryAfter = std::chrono::milliseconds(50);
@@ -85,13 +90,26 @@
   StartAttempt();
 }
 
+Duration Exchange::CallerPatience() const {
+  const Duration deadline = request_.deadline.value_or(Duration::max());
+  if (!is_stream()) {
+    return deadline;
+  }
+  const Duration first_event =
+      std::max({kMinCallerPatience,
+                Duration(kPatienceLatencyFactor * route_->latency_target),
+                Duration(kPatienceGapFactor * route_->event_gap_target)});
+  return std::min(deadline, first_event);
+}
+
 TimePoint Exchange::AnswerDue() const {
-  if (!request_.deadline) {
+  const Duration patience = CallerPatience();
+  if (patience >= deadline_ - received_ + kAnswerDeliveryTime) {
     return deadline_;
   }
-  const Duration delivery = std::min<Duration>(
-      kAnswerDeliveryTime, *request_.deadline / kAnswerDeliveryShare);
-  return std::min(deadline_, received_ + *request_.deadline - delivery);
+  const Duration delivery =
+      std::min<Duration>(kAnswerDeliveryTime, patience / kAnswerDeliveryShare);
+  return std::min(deadline_, received_ + patience - delivery);
 }
 
 void Exchange::ArmDeadlineTimer(TimePoint when) {
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -116,6 +116,9 @@
   bool is_stream() const { return route_->kind == RequestKind::kStream; }
   bool streaming_answer() const;
   Duration TimeLeft(TimePoint now) const;
+  // How long the caller waits for an answer to begin, from when the request was
+  // received.
+  Duration CallerPatience() const;
   // When an error answer has to leave to reach the caller before its deadline.
   TimePoint AnswerDue() const;
   // Connections that this node may have open to one server: its share of the
--- a/tests/qh_gateway/caller_connection_test.cpp
+++ b/tests/qh_gateway/caller_connection_test.cpp
@@ -294,4 +294,31 @@
   CHECK(Has(caller.received(), "HTTP/1.1 503 "));
 }
 
+// Guards against streams without a first event whose callers leave before the
+// node's answer.
+TEST_CASE_METHOD(Fixture,
+                 "a stream without events is answered while its caller waits") {
+  const std::string config = R"({"version":9,"routes":[
+    {"name":"stream","host":"h","pathPrefix":"/stream/","routeKind":"stream",
+     "service":"chat","timeoutMs":15000,"targetLatencyMs":100,
+     "anonymous":true,"gapTargetMs":100}],
+    "services":[{"name":"chat","engine":{"slots":4}}]})";
+  REQUIRE(state.ApplyConfig(codec.read_config(config).value(), MonotonicNow()));
+  const bool silent = GENERATE(true, false);
+  AddServer("s", "chat",
+            Always({.bytes = silent ? "" : StreamHead() + Events(1, 1),
+                    .then = Then::kStall}));
+  ScriptedCaller& caller = SendRequest(
+      "POST", "/stream/x", "r1", "Content-Length: 0\r\nDeadline-Ms: 12000\r\n");
+  const auto start = std::chrono::steady_clock::now();
+  if (silent) {
+    REQUIRE(RunUntil([&] { return Has(caller.received(), "HTTP/1.1 504 "); }));
+    CHECK(std::chrono::steady_clock::now() - start > milliseconds(1'900));
+  } else {
+    // A stream that has begun is not ended for its caller's patience.
+    RunFor(milliseconds(2'200));
+    CHECK_FALSE(caller.closed());
+  }
+}
+
 }  // namespace qh
