Test, failing: requests that share a part which crashes servers

Cause as suspected: CrashTracker counts crashes of whole contents, so that requests which share one part never add up.

--- /dev/null
+++ b/tests/qh_gateway/crashing_part_test.cpp
@@ -0,0 +1,106 @@
+// Prompt parts that crash every server which begins to answer them, beside
+// sound requests that share the other parts.
+
+#include <catch2/catch.hpp>
+
+#include "tests/qh_gateway/gateway_fixture.h"
+
+namespace qh {
+namespace {
+
+using std::chrono::milliseconds;
+using Then = ScriptedReply::Then;
+
+constexpr const char* kFirstPart = "a1:100";
+constexpr const char* kBadPart = "bad:40";
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+// How a server ends that begins to answer the bad part.
+enum class Ending { kResetBeforeAnswer, kExitAfterEvent, kExitWithoutLength };
+
+ScriptedReply EndingReply(Ending ending) {
+  switch (ending) {
+    case Ending::kResetBeforeAnswer:
+      break;
+    case Ending::kExitAfterEvent:
+      return {.bytes = StreamHead() + Events(1, 1), .then = Then::kExit};
+    case Ending::kExitWithoutLength:
+      return {.bytes =
+                  "HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: "
+                  "stamp\r\nContent-Type: text/event-stream\r\n\r\n"
+                  "id: 1\ndata: x\n\n",
+              .then = Then::kExit};
+  }
+  return {.then = Then::kStall};
+}
+
+class CrashingPartFixture : public GatewayFixture {
+ public:
+  // Starts `count` servers of "chat" that end when they get the bad part.
+  void StartServers(size_t count, Ending ending) {
+    for (size_t i = 0; i < count; ++i) {
+      servers_.push_back(&AddServer(
+          "s" + std::to_string(i), "chat",
+          [this, i, ending](size_t, const HttpHead& head) -> ScriptedReply {
+            const std::string* prompt = head.Find("Prompt-Prefix");
+            if (prompt == nullptr || !Has(*prompt, kBadPart)) {
+              return {.bytes = StreamHead() + Events(1, 3) + "0\r\n\r\n"};
+            }
+            ++bad_received_;
+            if (ending == Ending::kResetBeforeAnswer) {
+              servers_[i]->Crash();
+            }
+            return EndingReply(ending);
+          }));
+    }
+  }
+
+  // Sends a request whose prompt has `parts` and a last part of its own. No two
+  // are alike. Returns the answer.
+  std::string Ask(const std::string& parts) {
+    const std::string number = std::to_string(++sent_);
+    ScriptedCaller& caller =
+        SendRequest("GET", "/stream/" + number, "r" + number,
+                    "Prompt-Prefix: " + parts + ",e" + number + ":20\r\n");
+    RunUntil(
+        [&] { return caller.closed() || Has(caller.received(), "\r\n\r\n"); });
+    // The servers' ends become known.
+    RunFor(milliseconds(60));
+    return caller.received();
+  }
+
+  // Requests with the bad part that reached a server.
+  size_t bad_received() const { return bad_received_; }
+
+ private:
+  std::vector<ScriptedServer*> servers_;
+  size_t bad_received_ = 0;
+  size_t sent_ = 0;
+};
+
+}  // namespace
+
+// Guards against evidence that is kept for whole contents while many different
+// requests share the part that crashes servers (menzaterv-quetzal, BUDGET: 42
+// servers ended one after the other).
+TEST_CASE_METHOD(CrashingPartFixture,
+                 "a prompt part that crashes servers is not sent any more") {
+  const Ending ending =
+      GENERATE(Ending::kResetBeforeAnswer, Ending::kExitAfterEvent,
+               Ending::kExitWithoutLength);
+  StartServers(30, ending);
+  CHECK(Has(Ask(kFirstPart), "data: x"));
+  size_t sound_served = 0;
+  constexpr size_t kRequests = 20;
+  for (size_t i = 0; i < kRequests; ++i) {
+    Ask(std::string(kFirstPart) + "," + kBadPart);
+    sound_served += Has(Ask(kFirstPart), "id: 3") ? 1 : 0;
+  }
+  CHECK(bad_received() <= 5);
+  CHECK(sound_served == kRequests);
+}
+
+}  // namespace qh
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -101,6 +101,16 @@
   }
 }
 
+void ScriptedServer::Exit() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  for (const auto& weak : open_) {
+    if (const auto connection = weak.lock()) {
+      connection->socket.shutdown(TcpSocket::shutdown_send, ignored);
+    }
+  }
+}
+
 void ScriptedServer::EndStalled() {
   boost::system::error_code ignored;
   for (const auto& weak : open_) {
@@ -199,6 +209,9 @@
     case ScriptedReply::Then::kStall:
       connection->stalled = true;
       break;
+    case ScriptedReply::Then::kExit:
+      Exit();
+      break;
     case ScriptedReply::Then::kFlood:
       ++flooding_;
       connection->chunked = reply.bytes.find("chunked") != std::string::npos;
--- a/tests/qh_gateway/gateway_fixture.h
+++ b/tests/qh_gateway/gateway_fixture.h
@@ -33,6 +33,9 @@
     kReset,
     // Sends nothing more and leaves the connection open.
     kStall,
+    // The server's process ends: it stops listening, and all its connections
+    // are closed in order.
+    kExit,
     // Sends bytes without end until the peer closes: as chunks if `bytes` says
     // so, else as they are.
     kFlood
@@ -72,6 +75,8 @@
   void SetSilent(bool silent);
   // Stops listening and resets all connections.
   void Crash();
+  // Stops listening and closes all connections in order.
+  void Exit();
 
  private:
   struct Connection;
