A verdict that another one explains better ends; nodes share what they know to be sound

Change: the verdict with more crashes wins, a verdict whose crashes it all explains ends; what never had a good answer is likelier a cause; a node that knows of a good answer tells the others when the part becomes suspect; a run that goes on for 0.5 s after its first byte is no cause.

--- a/modules/qh_gateway/decisions/crash_tracker.cpp
+++ b/modules/qh_gateway/decisions/crash_tracker.cpp
@@ -43,8 +43,14 @@
 
 CrashTracker::Evidence& CrashTracker::EvidenceOf(Feature feature) {
   const auto [entry, added] = evidence_.try_emplace(feature);
-  if (added) {
-    entry->second.sound = sound_answers_.Last(feature);
+  if (!added) {
+    return entry->second;
+  }
+  entry->second.sound = sound_answers_.Last(feature);
+  if (entry->second.sound) {
+    // The peers may not have seen such an answer.
+    ReportSound({feature, *entry->second.sound});
+    has_news_ = true;
   }
   return entry->second;
 }
@@ -108,13 +114,14 @@
   for (const Feature feature : verdict.features) {
     EvidenceOf(feature);
   }
-  if (!verdicts_.Add(verdict)) {
+  if (IsSuperseded(verdict) || !verdicts_.Add(verdict)) {
     return;
   }
   has_news_ = true;
   if (on_verdict_) {
     on_verdict_(VerdictChange::kAdded, verdict);
   }
+  EndSuperseded();
 }
 
 bool CrashTracker::HasCause(const std::vector<Feature>& features,
@@ -126,13 +133,13 @@
 
 void CrashTracker::Decide(const Crash& crash, TimePoint now) {
   std::optional<Feature> cause;
-  // More crashes, and no answer that ever went well, make a likelier cause.
-  std::pair<size_t, bool> strongest;
+  // No answer that ever went well, and more crashes, make a likelier cause.
+  std::pair<bool, size_t> strongest;
   for (const auto& [content, features] : crash.runs) {
     for (const Feature feature : features) {
-      const std::pair<size_t, bool> strength{CrashCount(feature, now),
-                                             !evidence_.at(feature).sound};
-      if (strength.first >= Threshold(feature) &&
+      const std::pair<bool, size_t> strength{!evidence_.at(feature).sound,
+                                             CrashCount(feature, now)};
+      if (strength.second >= Threshold(feature) &&
           (!cause || strength > strongest)) {
         cause = feature;
         strongest = strength;
@@ -147,17 +154,63 @@
   }
 }
 
-bool CrashTracker::IsExplainedWithout(Feature feature,
-                                      const Crash& crash) const {
+bool CrashTracker::IsExplainedWithout(Feature feature, uint64_t server) const {
+  const size_t own = evidence_.at(feature).crashes.size();
+  const auto& verdicts = verdicts_.all();
   return std::any_of(
-      crash.runs.begin(), crash.runs.end(), [&](const auto& run) {
-        const CrashVerdict* verdict = verdicts_.Find(run.second);
-        return verdict != nullptr &&
-               !std::binary_search(verdict->features.begin(),
-                                   verdict->features.end(), feature);
+      verdicts.begin(), verdicts.end(), [&](const CrashVerdict& verdict) {
+        if (std::binary_search(verdict.features.begin(), verdict.features.end(),
+                               feature)) {
+          return false;
+        }
+        const std::set<uint64_t> servers = CrashedWith(verdict);
+        return servers.size() >= own && servers.contains(server);
       });
 }
 
+std::set<uint64_t> CrashTracker::CrashedWith(
+    const CrashVerdict& verdict) const {
+  std::optional<std::set<uint64_t>> servers;
+  for (const Feature feature : verdict.features) {
+    const auto found = evidence_.find(feature);
+    if (found == evidence_.end()) {
+      return {};
+    }
+    const std::set<uint64_t>& crashed = found->second.crashes;
+    if (!servers) {
+      servers = crashed;
+    } else {
+      std::erase_if(*servers, [&](uint64_t s) { return !crashed.contains(s); });
+    }
+  }
+  return servers.value_or(std::set<uint64_t>());
+}
+
+bool CrashTracker::IsSuperseded(const CrashVerdict& verdict) const {
+  const std::set<uint64_t> own = CrashedWith(verdict);
+  const auto& verdicts = verdicts_.all();
+  return !own.empty() &&
+         std::any_of(verdicts.begin(), verdicts.end(),
+                     [&](const CrashVerdict& other) {
+                       const std::set<uint64_t> servers = CrashedWith(other);
+                       return servers.size() > own.size() &&
+                              std::includes(servers.begin(), servers.end(),
+                                            own.begin(), own.end());
+                     });
+}
+
+void CrashTracker::EndSuperseded() {
+  const std::vector<CrashVerdict> before = verdicts_.all();
+  for (const CrashVerdict& verdict : before) {
+    if (IsSuperseded(verdict)) {
+      verdicts_.Remove(verdict.features);
+      if (on_verdict_) {
+        on_verdict_(VerdictChange::kEnded, verdict);
+      }
+    }
+  }
+}
+
 std::vector<const CrashTracker::Crash*> CrashTracker::CrashesOf(
     Feature feature,
     TimePoint now) const {
@@ -170,7 +223,7 @@
     const Crash& crash = crashes_.at(server);
     const bool cleared = found->second.sound && *found->second.sound > crash.at;
     if (!cleared && now - crash.at <= kEvidenceLifetime &&
-        !IsExplainedWithout(feature, crash)) {
+        !IsExplainedWithout(feature, server)) {
       against.push_back(&crash);
     }
   }
--- a/modules/qh_gateway/decisions/crash_tracker.h
+++ b/modules/qh_gateway/decisions/crash_tracker.h
@@ -84,7 +84,7 @@
   static constexpr size_t kOnceSoundThreshold = 5;
   // A server that goes on for this long after it has begun an answer did not
   // crash of it.
-  static constexpr Duration kSoundAfter = std::chrono::seconds(1);
+  static constexpr Duration kSoundAfter = std::chrono::milliseconds(500);
   // Crashes of several servers within this time count once against a prompt
   // part: a cause outside the servers is likelier.
   static constexpr Duration kSimultaneous = std::chrono::milliseconds(50);
@@ -175,8 +175,14 @@
   void Decide(const Crash& crash, TimePoint now);
   // Whether there is enough evidence against one of the features.
   bool HasCause(const std::vector<Feature>& features, TimePoint now) const;
-  // Whether a verdict that does not name `feature` explains the crash.
-  bool IsExplainedWithout(Feature feature, const Crash& crash) const;
+  // Whether a verdict that does not name `feature`, and has as many crashes,
+  // explains the crash of this server.
+  bool IsExplainedWithout(Feature feature, uint64_t server) const;
+  // Returns the servers that crashed with all features of the verdict.
+  std::set<uint64_t> CrashedWith(const CrashVerdict& verdict) const;
+  // Whether another verdict explains all crashes of this one, and more.
+  bool IsSuperseded(const CrashVerdict& verdict) const;
+  void EndSuperseded();
   // Returns the crashes that speak against the feature, in order of time.
   std::vector<const Crash*> CrashesOf(Feature feature, TimePoint now) const;
   // Returns how many of them count.
--- a/modules/qh_gateway/decisions/crash_verdicts.cpp
+++ b/modules/qh_gateway/decisions/crash_verdicts.cpp
@@ -42,6 +42,12 @@
   return true;
 }
 
+void CrashVerdicts::Remove(const std::vector<Feature>& features) {
+  std::erase_if(verdicts_, [&](const CrashVerdict& verdict) {
+    return verdict.features == features;
+  });
+}
+
 CrashVerdict* CrashVerdicts::FindMutable(const std::vector<Feature>& sorted) {
   const auto found = std::find_if(verdicts_.begin(), verdicts_.end(),
                                   [&](const CrashVerdict& verdict) {
--- a/modules/qh_gateway/decisions/crash_verdicts.h
+++ b/modules/qh_gateway/decisions/crash_verdicts.h
@@ -41,6 +41,8 @@
   // Adds a verdict or merges it with the one of the same features. Removes the
   // verdicts that it makes superfluous. Returns whether it was new.
   bool Add(const CrashVerdict& verdict);
+  // Removes the verdict of exactly these features.
+  void Remove(const std::vector<Feature>& features);
   // Returns the verdict that blocks a request with these features, or null.
   const CrashVerdict* Find(const std::vector<Feature>& sorted) const;
   // Whether a verdict with this feature is held.
