Parts on which answers go well are blocked only when time has not cleared them

A node that had just started knew of no good answer and blocked such parts after three crashes, for all nodes.

Change: a crash speaks against a feature that was sound before only after 2 s in which good answers may clear it; such a verdict never outweighs one against a feature that never had a good answer; verdicts carry their number of crashes, and a node that knows better ends one that has too few.

--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -147,7 +147,8 @@
   for (const CrashVerdict& verdict : verdicts) {
     list.push_back({verdict.features, AgeToJson(verdict.crashed, now),
                     AgeToJson(verdict.decided, now),
-                    AgeToJson(verdict.refused, now), verdict.trials});
+                    AgeToJson(verdict.refused, now), verdict.trials,
+                    verdict.crashes});
   }
   return list;
 }
@@ -159,7 +160,8 @@
                          .crashed = AgeFromJson(entry.at(1), now),
                          .decided = AgeFromJson(entry.at(2), now),
                          .refused = AgeFromJson(entry.at(3), now),
-                         .trials = entry.at(4)};
+                         .trials = entry.at(4),
+                         .crashes = entry.at(5)};
     std::sort(verdict.features.begin(), verdict.features.end());
     verdicts.push_back(std::move(verdict));
   }
--- a/modules/qh_gateway/decisions/crash_tracker.cpp
+++ b/modules/qh_gateway/decisions/crash_tracker.cpp
@@ -150,17 +150,27 @@
     AddVerdict({.features = CommonFeatures(*cause, now),
                 .crashed = CrashesOf(*cause, now).back()->at,
                 .decided = now,
-                .refused = now});
+                .refused = now,
+                .crashes = CrashCount(*cause, now)});
   }
 }
 
+bool CrashTracker::IsOnceSound(const std::vector<Feature>& features) const {
+  return std::all_of(features.begin(), features.end(), [&](Feature feature) {
+    const auto found = evidence_.find(feature);
+    return found != evidence_.end() && found->second.sound;
+  });
+}
+
 bool CrashTracker::IsExplainedWithout(Feature feature, uint64_t server) const {
   const size_t own = evidence_.at(feature).crashes.size();
+  const bool once_sound = IsOnceSound({feature});
   const auto& verdicts = verdicts_.all();
   return std::any_of(
       verdicts.begin(), verdicts.end(), [&](const CrashVerdict& verdict) {
         if (std::binary_search(verdict.features.begin(), verdict.features.end(),
-                               feature)) {
+                               feature) ||
+            (!once_sound && IsOnceSound(verdict.features))) {
           return false;
         }
         const std::set<uint64_t> servers = CrashedWith(verdict);
@@ -188,12 +198,14 @@
 
 bool CrashTracker::IsSuperseded(const CrashVerdict& verdict) const {
   const std::set<uint64_t> own = CrashedWith(verdict);
+  const bool once_sound = IsOnceSound(verdict.features);
   const auto& verdicts = verdicts_.all();
   return !own.empty() &&
          std::any_of(verdicts.begin(), verdicts.end(),
                      [&](const CrashVerdict& other) {
                        const std::set<uint64_t> servers = CrashedWith(other);
-                       return servers.size() > own.size() &&
+                       return (once_sound || !IsOnceSound(other.features)) &&
+                              servers.size() > own.size() &&
                               std::includes(servers.begin(), servers.end(),
                                             own.begin(), own.end());
                      });
@@ -221,7 +233,9 @@
   }
   for (const uint64_t server : found->second.crashes) {
     const Crash& crash = crashes_.at(server);
-    const bool cleared = found->second.sound && *found->second.sound > crash.at;
+    const auto& sound = found->second.sound;
+    const bool cleared =
+        sound && (*sound > crash.at || now - crash.at < kSettleTime);
     if (!cleared && now - crash.at <= kEvidenceLifetime &&
         !IsExplainedWithout(feature, server)) {
       against.push_back(&crash);
@@ -251,7 +265,7 @@
 size_t CrashTracker::Threshold(Feature feature) const {
   const auto found = evidence_.find(feature);
   const bool once_sound = found != evidence_.end() && found->second.sound;
-  return once_sound ? kOnceSoundThreshold : kBlockThreshold;
+  return once_sound ? CrashVerdict::kOnceSoundThreshold : kBlockThreshold;
 }
 
 std::vector<Feature> CrashTracker::CommonFeatures(Feature feature,
@@ -334,7 +348,7 @@
     const auto found = evidence_.find(feature);
     const auto sound = found == evidence_.end() ? sound_answers_.Last(feature)
                                                 : found->second.sound;
-    const bool cleared = sound && *sound > verdict.crashed;
+    const bool cleared = sound && verdict.IsClearedBy(*sound);
     if (cleared) {
       ReportSound({feature, *sound});
     }
@@ -345,7 +359,11 @@
 void CrashTracker::OnTick(TimePoint now) {
   verdicts_.Expire(now);
   std::vector<uint64_t> expired;
-  for (const auto& [server, crash] : crashes_) {
+  for (auto& [server, crash] : crashes_) {
+    if (!crash.settled && now - crash.at >= kSettleTime) {
+      crash.settled = true;
+      Decide(crash, now);
+    }
     if (now - crash.at > kEvidenceLifetime) {
       expired.push_back(server);
     }
--- a/modules/qh_gateway/decisions/crash_tracker.h
+++ b/modules/qh_gateway/decisions/crash_tracker.h
@@ -79,15 +79,17 @@
 class CrashTracker {
  public:
   // Crashes that make a verdict of a feature on which no answer has gone well
-  // so far, and of one on which answers went well before.
+  // so far; see also CrashVerdict::kOnceSoundThreshold.
   static constexpr size_t kBlockThreshold = 3;
-  static constexpr size_t kOnceSoundThreshold = 5;
   // A server that goes on for this long after it has begun an answer did not
   // crash of it.
   static constexpr Duration kSoundAfter = std::chrono::milliseconds(500);
   // Crashes of several servers within this time count once against a prompt
   // part: a cause outside the servers is likelier.
   static constexpr Duration kSimultaneous = std::chrono::milliseconds(50);
+  // Crashes speak against a feature on which answers went well before only
+  // after this time, in which further good answers may clear it.
+  static constexpr Duration kSettleTime = std::chrono::seconds(2);
   // Crashes are evidence for this long.
   static constexpr Duration kEvidenceLifetime = std::chrono::seconds(60);
   // Records held; those of the oldest crash are dropped first. Far more than
@@ -143,6 +145,8 @@
   struct Crash {
     TimePoint at;
     Runs runs;
+    // The cause was looked for after kSettleTime.
+    bool settled = false;
   };
   // What speaks for and against one feature.
   struct Evidence {
@@ -175,12 +179,15 @@
   void Decide(const Crash& crash, TimePoint now);
   // Whether there is enough evidence against one of the features.
   bool HasCause(const std::vector<Feature>& features, TimePoint now) const;
-  // Whether a verdict that does not name `feature`, and has as many crashes,
-  // explains the crash of this server.
+  // Whether answers on all features went well at some time.
+  bool IsOnceSound(const std::vector<Feature>& features) const;
+  // Whether a verdict that does not name `feature`, and is at least as likely a
+  // cause, explains the crash of this server.
   bool IsExplainedWithout(Feature feature, uint64_t server) const;
   // Returns the servers that crashed with all features of the verdict.
   std::set<uint64_t> CrashedWith(const CrashVerdict& verdict) const;
-  // Whether another verdict explains all crashes of this one, and more.
+  // Whether a verdict that is no less likely a cause explains all crashes of
+  // this one, and more.
   bool IsSuperseded(const CrashVerdict& verdict) const;
   void EndSuperseded();
   // Returns the crashes that speak against the feature, in order of time.
--- a/modules/qh_gateway/decisions/crash_verdicts.cpp
+++ b/modules/qh_gateway/decisions/crash_verdicts.cpp
@@ -17,6 +17,7 @@
   known.crashed = std::max(known.crashed, other.crashed);
   known.refused = std::max(known.refused, other.refused);
   known.trials = std::max(known.trials, other.trials);
+  known.crashes = std::max(known.crashes, other.crashes);
 }
 
 }  // namespace
@@ -73,7 +74,7 @@
                                                  TimePoint began) {
   std::vector<CrashVerdict> ended;
   for (CrashVerdict& verdict : verdicts_) {
-    if (began <= verdict.crashed) {
+    if (!verdict.IsClearedBy(began)) {
       continue;
     }
     const std::vector<Feature> before = verdict.features;
--- a/modules/qh_gateway/decisions/crash_verdicts.h
+++ b/modules/qh_gateway/decisions/crash_verdicts.h
@@ -16,6 +16,10 @@
 namespace qh {
 
 struct CrashVerdict {
+  // Crashes that a verdict needs against a feature on which answers went well
+  // before.
+  static constexpr size_t kOnceSoundThreshold = 5;
+
   // In increasing order, at least one. A request that has all of them is
   // blocked. More than one if the evidence can't tell them apart.
   std::vector<Feature> features;
@@ -26,6 +30,15 @@
   TimePoint refused;
   // Trials so far, on all nodes.
   uint32_t trials = 0;
+  // Crashes that were the reason.
+  size_t crashes = 0;
+
+  // Whether an answer that began at `began` and went well clears a feature: the
+  // last crash is older, or the verdict was reached without knowing of the
+  // answer and has too few crashes.
+  bool IsClearedBy(TimePoint began) const {
+    return began > crashed || crashes < kOnceSoundThreshold;
+  }
 };
 
 class CrashVerdicts {
@@ -47,8 +60,8 @@
   const CrashVerdict* Find(const std::vector<Feature>& sorted) const;
   // Whether a verdict with this feature is held.
   bool Concerns(Feature feature) const;
-  // An answer on the feature that began at `began` went well: verdicts whose
-  // last crash is older no longer name the feature, and end if they name no
+  // An answer on the feature that began at `began` went well: the verdicts that
+  // this clears of the feature no longer name it, and end if they name no
   // other. Returns the verdicts that ended.
   std::vector<CrashVerdict> OnSound(Feature feature, TimePoint began);
   // A server crashed with the features of one request.
--- a/tests/qh_gateway/control_test.cpp
+++ b/tests/qh_gateway/control_test.cpp
@@ -220,7 +220,8 @@
                     TimePoint(seconds(3)),
                     TimePoint(seconds(4)),
                     TimePoint(seconds(5)),
-                    2}}};
+                    2,
+                    3}}};
   heartbeat.prefill_rates = {{"chat", 0.5}};
   const auto decoded = PeerHeartbeat::Decode(heartbeat.Encode());
   REQUIRE(decoded);
--- a/tests/qh_gateway/crash_tracker_test.cpp
+++ b/tests/qh_gateway/crash_tracker_test.cpp
@@ -124,11 +124,13 @@
     now += milliseconds(300);
     tracker.OnSound(Features({kFirst, kBad}, 100 + i), now);
   }
-  for (uint64_t i = 0; i < CrashTracker::kOnceSoundThreshold; ++i) {
+  for (uint64_t i = 0; i < CrashVerdict::kOnceSoundThreshold; ++i) {
     now += milliseconds(300);
     tracker.OnCrash(Crash(Features({kFirst, kBad}, 200 + i), i, now), now);
     tracker.OnSound(Features({kFirst}, 300 + i), now + milliseconds(10));
   }
+  now += CrashTracker::kSettleTime;
+  tracker.OnTick(now);
   CHECK(IsBlocked(tracker, Features({kFirst, kBad}, 400), now));
   CHECK_FALSE(IsBlocked(tracker, Features({kFirst}, 401), now));
 }
--- a/tests/qh_gateway/robustness_test.cpp
+++ b/tests/qh_gateway/robustness_test.cpp
@@ -100,7 +100,8 @@
                                      TimePoint(std::chrono::seconds(3)),
                                      TimePoint(std::chrono::seconds(4)),
                                      TimePoint(std::chrono::seconds(5)),
-                                     2}}};
+                                     2,
+                                     3}}};
   heartbeat.prefill_rates = {{"chat", 0.5}};
   return heartbeat;
 }
