--- a/tests/qh_gateway/crashing_part_test.cpp
+++ b/tests/qh_gateway/crashing_part_test.cpp
@@ -60,10 +60,11 @@
 
   // Sends a request whose prompt has `parts` and a last part of its own. No two
   // are alike. Returns the answer.
-  std::string Ask(const std::string& parts) {
+  std::string Ask(const std::string& parts,
+                  const std::string& path = "/stream/") {
     const std::string number = std::to_string(++sent_);
     ScriptedCaller& caller =
-        SendRequest("GET", "/stream/" + number, "r" + number,
+        SendRequest("GET", path + number, "r" + number,
                     "Prompt-Prefix: " + parts + ",e" + number + ":20\r\n");
     RunUntil(
         [&] { return caller.closed() || Has(caller.received(), "\r\n\r\n"); });
@@ -103,4 +104,44 @@
   CHECK(sound_served == kRequests);
 }
 
+// Guards against retries that cost a server each, though other requests have
+// shown what they do.
+TEST_CASE_METHOD(CrashingPartFixture,
+                 "a request whose part is suspect is not repeated") {
+  StartServers(30, Ending::kResetBeforeAnswer);
+  constexpr size_t kRequests = 20;
+  for (size_t i = 0; i < kRequests; ++i) {
+    Ask(std::string(kFirstPart) + "," + kBadPart, "/resume/");
+  }
+  CHECK(bad_received() <= 5);
+}
+
+// Guards against an answer that looks complete because its server closed the
+// connection in order as it crashed.
+TEST_CASE_METHOD(GatewayFixture,
+                 "an answer without a length is complete if its server lives") {
+  const bool lives = GENERATE(true, false);
+  const bool stream = GENERATE(true, false);
+  const std::string head =
+      std::string("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: ") +
+      "stamp\r\n" + (stream ? "Content-Type: text/event-stream\r\n" : "") +
+      "\r\n";
+  AddServer("a", stream ? "chat" : "plain", [&](size_t, const HttpHead&) {
+    return ScriptedReply{.bytes = head + "id: 1\ndata: x\n\n",
+                         .then = lives ? Then::kHalfClose : Then::kExit};
+  });
+  ScriptedCaller& caller =
+      SendRequest("POST", stream ? "/stream/x" : "/unsafe/x", "r1",
+                  "Content-Length: 0\r\n");
+  REQUIRE(RunUntil([&] {
+    return caller.closed() || Has(caller.received(), "data: x") ||
+           Has(caller.received(), " 502 ");
+  }));
+  RunFor(milliseconds(60));
+  const std::string& answer = caller.received();
+  const bool complete =
+      stream ? Has(answer, "\r\n0\r\n\r\n") : Has(answer, "data: x");
+  CHECK(complete == lives);
+}
+
 }  // namespace qh
