A peer's word of a good answer is kept until the crash is told

Cause: a good answer was noted only for features with evidence. A node that heard of the answer before the record of the crash dropped it, took the part for one that never had a good answer, and blocked it after three crashes, for all nodes.

--- a/modules/qh_gateway/decisions/crash_tracker.cpp
+++ b/modules/qh_gateway/decisions/crash_tracker.cpp
@@ -4,8 +4,6 @@
 #include <iterator>
 
 namespace qh {
-namespace {}  // namespace
-
 CrashTracker::CrashTracker(VerdictHook on_verdict)
     : on_verdict_(std::move(on_verdict)) {}
 
@@ -57,15 +55,15 @@
 
 void CrashTracker::OnSound(const RequestFeatures& features, TimePoint began) {
   for (const Feature feature : features.sorted()) {
-    // A content seldom comes again; it is only looked at once it is suspect.
-    if (IsPromptPart(feature)) {
-      sound_answers_.Note(feature, began);
-    }
     NoteSound(feature, began, true);
   }
 }
 
 void CrashTracker::NoteSound(Feature feature, TimePoint began, bool report) {
+  // A content seldom comes again; it is only looked at once it is suspect.
+  if (IsPromptPart(feature)) {
+    sound_answers_.Note(feature, began);
+  }
   const auto found = evidence_.find(feature);
   if (found == evidence_.end() ||
       (found->second.sound && *found->second.sound >= began)) {
--- a/tests/qh_gateway/crash_tracker_test.cpp
+++ b/tests/qh_gateway/crash_tracker_test.cpp
@@ -223,6 +223,22 @@
   CHECK_FALSE(IsBlocked(tracker, Features({kFirst}, 204), now));
 }
 
+// Guards against a part that is blocked because its good answers were told
+// before its crashes were (crash_search_test.cpp, two bad parts, seed 41).
+TEST_CASE("a peer's word of a good answer counts for crashes told later") {
+  CrashTracker tracker;
+  TimePoint now = kStart;
+  const std::vector<Feature> features = Features({kFirst}, 1).sorted();
+  const Feature part =
+      *std::find_if(features.begin(), features.end(), IsPromptPart);
+  tracker.OnPeer({.made = now, .sound = {{part, now}}}, false, now);
+  for (uint64_t i = 0; i < CrashTracker::kBlockThreshold; ++i) {
+    now += milliseconds(300);
+    tracker.OnCrash(Crash(Features({kFirst}, 100 + i), i, now), now);
+  }
+  CHECK_FALSE(IsBlocked(tracker, Features({kFirst}, 200), now));
+}
+
 TEST_CASE("a blocked request is tried again seldom, and counted on all nodes") {
   CrashTracker tracker;
   CrashTracker peer;
