--- a/modules/qh_gateway/decisions/crash_tracker.h
+++ b/modules/qh_gateway/decisions/crash_tracker.h
@@ -112,7 +112,8 @@
 
   // A request ran on a server as it crashed. A known record changes nothing.
   void OnCrash(const CrashRecord& record, TimePoint now);
-  // A server began an answer on these features at `began` and went on.
+  // A server began an answer on these features at `began` and did not crash of
+  // it: the answer is complete, or the server was still up after kSoundAfter.
   void OnSound(const RequestFeatures& features, TimePoint began);
   // A request with these features was refused because it is blocked.
   void OnRefused(const RequestFeatures& features, TimePoint now);
@@ -131,7 +132,8 @@
   // A peer's report arrived. With `forward`, what is new in it is reported to
   // this node's own peers.
   void OnPeer(const CrashReport& report, bool forward, TimePoint now);
-  // Forgets what has expired.
+  // Looks for the cause of the crashes whose settle time is over, and forgets
+  // what has expired.
   void OnTick(TimePoint now);
 
   const std::vector<CrashVerdict>& verdicts() const { return verdicts_.all(); }
@@ -165,8 +167,11 @@
   // often enough.
   template <typename T>
   static std::vector<T> TakeNext(std::vector<Outgoing<T>>& waiting);
+  // Adds a record or a good answer to the evidence. With `report`, the peers
+  // are told.
   void Record(const CrashRecord& record, bool report, TimePoint now);
   void NoteSound(Feature feature, TimePoint began, bool report);
+  // Adds a verdict unless another one explains its crashes better.
   void AddVerdict(const CrashVerdict& verdict);
   // Puts the answer among those to report.
   void ReportSound(const SoundAnswer& answer);
@@ -189,15 +194,18 @@
   // Whether a verdict that is no less likely a cause explains all crashes of
   // this one, and more.
   bool IsSuperseded(const CrashVerdict& verdict) const;
+  // Ends the verdicts that are superseded.
   void EndSuperseded();
   // Returns the crashes that speak against the feature, in order of time.
   std::vector<const Crash*> CrashesOf(Feature feature, TimePoint now) const;
   // Returns how many of them count.
   size_t CrashCount(Feature feature, TimePoint now) const;
+  // Returns how many make a verdict.
   size_t Threshold(Feature feature) const;
   // Returns the features that all crashed requests with `feature` share and
   // that are not cleared, `feature` included.
   std::vector<Feature> CommonFeatures(Feature feature, TimePoint now) const;
+  // Forgets one crash and the evidence that comes from it.
   void Forget(uint64_t server);
   void ForgetOldest();
 
--- a/modules/qh_gateway/decisions/crash_verdicts.h
+++ b/modules/qh_gateway/decisions/crash_verdicts.h
@@ -25,6 +25,7 @@
   std::vector<Feature> features;
   // The last known crash with these features.
   TimePoint crashed;
+  // When a node reached the verdict.
   TimePoint decided;
   // The last known refusal, or the decision before the first one.
   TimePoint refused;
@@ -45,8 +46,8 @@
  public:
   // A verdict ends this long after the last refusal.
   static constexpr Duration kLifetime = std::chrono::minutes(10);
-  // Time from the decision to the first trial; doubles with each trial, because
-  // a trial may cost a server.
+  // Time from the decision to the first trial. Each further one waits twice as
+  // long as the one before, because a trial may cost a server.
   static constexpr Duration kFirstTrialDelay = std::chrono::minutes(2);
   // Verdicts held; the one whose last refusal is oldest is dropped first.
   static constexpr size_t kMaxVerdicts = 256;
--- a/tests/qh_gateway/crash_search_test.cpp
+++ b/tests/qh_gateway/crash_search_test.cpp
@@ -31,8 +31,8 @@
 constexpr Duration kBadFrom = seconds(8);
 constexpr double kHeartbeatLoss = 0.3;
 
-// What goes on beside the bad parts.
-struct Weather {
+// How many requests come, and what goes wrong beside the bad parts.
+struct Disturbances {
   size_t bad_parts = 1;
   double bad_per_second = 4;
   double sound_per_second = 40;
@@ -43,8 +43,8 @@
 
 class CrashWorld {
  public:
-  CrashWorld(const Weather& weather, uint64_t seed)
-      : weather_(weather), rng_(seed, 7) {
+  CrashWorld(const Disturbances& disturbances, uint64_t seed)
+      : disturbances_(disturbances), rng_(seed, 7) {
     for (size_t i = 0; i < kNodes; ++i) {
       nodes_.push_back(std::make_unique<CrashTracker>());
     }
@@ -112,11 +112,11 @@
   void Arrivals() {
     const double step = std::chrono::duration<double>(kStep).count();
     if (now_ - start_ >= kBadFrom &&
-        rng_.Chance(weather_.bad_per_second * step)) {
-      const uint64_t bad = 1'000 + rng_.Below(weather_.bad_parts);
+        rng_.Chance(disturbances_.bad_per_second * step)) {
+      const uint64_t bad = 1'000 + rng_.Below(disturbances_.bad_parts);
       Ask(NewRequest(bad), bad);
     }
-    if (rng_.Chance(weather_.sound_per_second * step)) {
+    if (rng_.Chance(disturbances_.sound_per_second * step)) {
       Ask(NewRequest(0), 0);
     }
   }
@@ -211,13 +211,13 @@
   }
 
   void Disturb() {
-    if (weather_.servers_crash && rng_.Chance(0.002)) {
+    if (disturbances_.servers_crash && rng_.Chance(0.002)) {
       CrashServer(servers_[rng_.Below(kServers)]);
     }
-    if (weather_.nodes_restart && rng_.Chance(0.002)) {
+    if (disturbances_.nodes_restart && rng_.Chance(0.002)) {
       nodes_[rng_.Below(kNodes)] = std::make_unique<CrashTracker>();
     }
-    if (weather_.domain_lost && now_ - start_ == kBadFrom + seconds(1)) {
+    if (disturbances_.domain_lost && now_ - start_ == kBadFrom + seconds(1)) {
       for (size_t i = 0; i < kServers / 3; ++i) {
         CrashServer(servers_[i]);
       }
@@ -241,7 +241,7 @@
   }
 
   const TimePoint start_{seconds(1'000)};
-  Weather weather_;
+  Disturbances disturbances_;
   Rng rng_;
   TimePoint now_ = start_;
   std::vector<std::unique_ptr<CrashTracker>> nodes_;
@@ -258,16 +258,18 @@
 }  // namespace
 
 TEST_CASE("no course of events makes nodes go on sending a bad part") {
-  const Weather weather = GENERATE(
-      Weather{}, Weather{.bad_per_second = 30}, Weather{.bad_per_second = 0.7},
-      Weather{.sound_per_second = 4}, Weather{.nodes_restart = true},
-      Weather{.servers_crash = true, .domain_lost = true},
-      Weather{.bad_parts = 2, .nodes_restart = true, .servers_crash = true});
+  const Disturbances disturbances = GENERATE(
+      Disturbances{}, Disturbances{.bad_per_second = 30},
+      Disturbances{.bad_per_second = 0.7}, Disturbances{.sound_per_second = 4},
+      Disturbances{.nodes_restart = true},
+      Disturbances{.servers_crash = true, .domain_lost = true},
+      Disturbances{
+          .bad_parts = 2, .nodes_restart = true, .servers_crash = true});
   for (uint64_t seed = 1; seed <= 10; ++seed) {
-    CAPTURE(seed, weather.bad_parts, weather.bad_per_second,
-            weather.sound_per_second, weather.nodes_restart,
-            weather.servers_crash);
-    CrashWorld world(weather, seed);
+    CAPTURE(seed, disturbances.bad_parts, disturbances.bad_per_second,
+            disturbances.sound_per_second, disturbances.nodes_restart,
+            disturbances.servers_crash);
+    CrashWorld world(disturbances, seed);
     world.Run(seconds(40));
     CHECK(world.late_bad_sends() <= 3);
     CHECK(world.sound_refused() * 20 <= world.sound_asked());
