Verdicts on what crashes servers are kept in the platform's store

Cause: verdicts lived in the nodes' memory and in heartbeats alone.

Change: StoredVerdicts compares what a node holds with what is stored and says what to write; VerdictArchive writes it and takes over what is there. The objects are of the kind that all nodes watch already, so reading costs the store no call. The leader adds, refreshes and removes; other followers add a verdict that is missing for 1 s, because the leader may be cut off from them. A removal ends the verdict everywhere, and peers that still tell of it are not believed unless they decided it later. A restored store gets its verdicts again. New: event verdict_stored, metric gateway_crash_verdicts.

--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -64,6 +64,7 @@
                   [this](const PeerHeartbeat& heartbeat) {
                     OnHeartbeat(heartbeat);
                   }}),
+      verdict_archive_(state_, kGatewayNodeKind),
       register_connection_(io,
                            settings.store_address,
                            codec.store,
@@ -241,6 +242,7 @@
   UpdateRole(now);
   CheckOpenWatches();
   FetchNewerState(now);
+  verdict_archive_.OnTick(now, FollowsStore());
   leader_tasks_.OnTick(now, BootNow(), peers_.nodes().UnresponsiveCount(now),
                        following_);
   state_.is_leader = leader_tasks_.is_leader();
@@ -315,6 +317,7 @@
   server_watcher_->Stop();
   node_watcher_->Stop();
   leader_tasks_.Stop();
+  verdict_archive_.Stop();
   io_.stop();
 }
 
@@ -352,6 +355,9 @@
       static_cast<double>(state_.connection_pool.open_connections()));
   state_.metrics.Set({.name = "gateway_nodes"},
                      static_cast<double>(state_.node_count()));
+  state_.metrics.Set(
+      {.name = "gateway_crash_verdicts"},
+      static_cast<double>(state_.crash_tracker.verdicts().size()));
   state_.metrics.Set({.name = "gateway_holds_duties"},
                      leader_tasks_.is_leader() ? 1.0 : 0.0);
   return {.content_type = "text/plain; version=0.0.4",
--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -19,6 +19,7 @@
 #include "qh_gateway/control/peer_exchange.h"
 #include "qh_gateway/control/peer_state_fetcher.h"
 #include "qh_gateway/control/store_watcher.h"
+#include "qh_gateway/control/verdict_archive.h"
 #include "qh_gateway/decisions/store_mirror.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 #include "qh_net/http_service.h"
@@ -30,8 +31,8 @@
  public:
   // Time between two rounds of periodic work.
   static constexpr Duration kTickInterval = std::chrono::milliseconds(50);
-  // Kind of the stored objects through which nodes find each other: one object
-  // per node with its address for heartbeats.
+  // Kind of the stored objects that nodes share: one per node with its address
+  // for heartbeats, and those of VerdictArchive.
   static constexpr const char* kGatewayNodeKind = "gateway-nodes";
 
   // Opens every listener. `reload` reads the settings again on SIGHUP. Fails
@@ -168,6 +169,7 @@
   GatewayState state_;
   LeaderTasks leader_tasks_;
   PeerExchange peers_;
+  VerdictArchive verdict_archive_;
   StoreConnection register_connection_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_timer_;
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -176,6 +176,7 @@
 void GatewayNode::OnNodeList(const std::vector<StoredObject>& objects) {
   nodes_listed_at_ = nodes_listed_at_.value_or(MonotonicNow());
   node_mirror_.OnList(objects);
+  verdict_archive_.OnList(objects);
   bool listed = false;
   for (const StoredObject& object : objects) {
     AddNode(object);
@@ -218,6 +219,7 @@
 }
 
 void GatewayNode::OnNodeObject(const StoredObject& object) {
+  verdict_archive_.OnChange(object);
   if (object.removed) {
     node_mirror_.OnRemoved(object.name);
     return;
--- a/modules/qh_gateway/decisions/crash_tracker.cpp
+++ b/modules/qh_gateway/decisions/crash_tracker.cpp
@@ -213,10 +213,7 @@
   const std::vector<CrashVerdict> before = verdicts_.all();
   for (const CrashVerdict& verdict : before) {
     if (IsSuperseded(verdict)) {
-      verdicts_.Remove(verdict.features);
-      if (on_verdict_) {
-        on_verdict_(VerdictChange::kEnded, verdict);
-      }
+      EndVerdict(verdict.features);
     }
   }
 }
@@ -341,6 +338,19 @@
   }
 }
 
+void CrashTracker::OnVerdictEnded(const std::vector<Feature>& features,
+                                  TimePoint now) {
+  EndVerdict(features);
+  verdicts_.RefuseOlder(features, now);
+}
+
+void CrashTracker::EndVerdict(const std::vector<Feature>& features) {
+  const auto ended = verdicts_.Remove(features);
+  if (ended && on_verdict_) {
+    on_verdict_(VerdictChange::kEnded, *ended);
+  }
+}
+
 void CrashTracker::DropCleared(CrashVerdict& verdict) {
   std::erase_if(verdict.features, [&](Feature feature) {
     const auto found = evidence_.find(feature);
--- a/modules/qh_gateway/decisions/crash_tracker.h
+++ b/modules/qh_gateway/decisions/crash_tracker.h
@@ -132,6 +132,9 @@
   // A peer's report arrived. With `forward`, what is new in it is reported to
   // this node's own peers.
   void OnPeer(const CrashReport& report, bool forward, TimePoint now);
+  // The leader found the verdict on exactly these features wrong or over. Peers
+  // may go on telling of it for a while.
+  void OnVerdictEnded(const std::vector<Feature>& features, TimePoint now);
   // Looks for the cause of the crashes whose settle time is over, and forgets
   // what has expired.
   void OnTick(TimePoint now);
@@ -194,6 +197,7 @@
   // Whether a verdict that is no less likely a cause explains all crashes of
   // this one, and more.
   bool IsSuperseded(const CrashVerdict& verdict) const;
+  void EndVerdict(const std::vector<Feature>& features);
   // Ends the verdicts that are superseded.
   void EndSuperseded();
   // Returns the crashes that speak against the feature, in order of time.
--- a/modules/qh_gateway/decisions/crash_verdicts.cpp
+++ b/modules/qh_gateway/decisions/crash_verdicts.cpp
@@ -23,6 +23,10 @@
 }  // namespace
 
 bool CrashVerdicts::Add(const CrashVerdict& verdict) {
+  const auto refused = refused_until_.find(verdict.features);
+  if (refused != refused_until_.end() && verdict.decided <= refused->second) {
+    return false;
+  }
   for (CrashVerdict& known : verdicts_) {
     if (Includes(verdict.features, known.features)) {
       if (known.features == verdict.features) {
@@ -43,10 +47,25 @@
   return true;
 }
 
-void CrashVerdicts::Remove(const std::vector<Feature>& features) {
-  std::erase_if(verdicts_, [&](const CrashVerdict& verdict) {
-    return verdict.features == features;
-  });
+std::optional<CrashVerdict> CrashVerdicts::Remove(
+    const std::vector<Feature>& features) {
+  const auto found = std::find_if(verdicts_.begin(), verdicts_.end(),
+                                  [&](const CrashVerdict& verdict) {
+                                    return verdict.features == features;
+                                  });
+  if (found == verdicts_.end()) {
+    return std::nullopt;
+  }
+  CrashVerdict removed = std::move(*found);
+  verdicts_.erase(found);
+  return removed;
+}
+
+void CrashVerdicts::RefuseOlder(const std::vector<Feature>& features,
+                                TimePoint now) {
+  if (refused_until_.size() < kMaxVerdicts) {
+    refused_until_[features] = now;
+  }
 }
 
 CrashVerdict* CrashVerdicts::FindMutable(const std::vector<Feature>& sorted) {
@@ -123,6 +142,9 @@
   std::erase_if(verdicts_, [&](const CrashVerdict& verdict) {
     return now - verdict.refused > kLifetime;
   });
+  std::erase_if(refused_until_, [&](const auto& entry) {
+    return now - entry.second > kLifetime;
+  });
 }
 
 }  // namespace qh
--- a/modules/qh_gateway/decisions/crash_verdicts.h
+++ b/modules/qh_gateway/decisions/crash_verdicts.h
@@ -8,6 +8,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <vector>
 
 #include "qh_core/time/time.h"
@@ -55,8 +57,11 @@
   // Adds a verdict or merges it with the one of the same features. Removes the
   // verdicts that it makes superfluous. Returns whether it was new.
   bool Add(const CrashVerdict& verdict);
-  // Removes the verdict of exactly these features.
-  void Remove(const std::vector<Feature>& features);
+  // Removes the verdict of exactly these features. Returns it if there was one.
+  std::optional<CrashVerdict> Remove(const std::vector<Feature>& features);
+  // From now on, for kLifetime, a verdict of these features is only added if it
+  // was decided after `now`.
+  void RefuseOlder(const std::vector<Feature>& features, TimePoint now);
   // Returns the verdict that blocks a request with these features, or null.
   const CrashVerdict* Find(const std::vector<Feature>& sorted) const;
   // Whether a verdict with this feature is held.
@@ -81,6 +86,8 @@
   CrashVerdict* FindMutable(const std::vector<Feature>& sorted);
 
   std::vector<CrashVerdict> verdicts_;
+  // See RefuseOlder; at most kMaxVerdicts.
+  std::map<std::vector<Feature>, TimePoint> refused_until_;
 };
 
 }  // namespace qh
--- a/tests/qh_gateway/deployment_fixture.cpp
+++ b/tests/qh_gateway/deployment_fixture.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <boost/asio/ip/udp.hpp>
 #include <stdexcept>
 
 namespace qh {
@@ -64,6 +65,22 @@
   }
 }
 
+void DeploymentFixture::TellVerdict(size_t node, const CrashVerdict& verdict) {
+  const TimePoint now = MonotonicNow();
+  const PeerHeartbeat heartbeat{
+      .node = "stopping",
+      .incarnation = "1",
+      .sequence = ++told_,
+      .draining = true,
+      .crashes = {.made = now, .verdicts = {verdict}}};
+  using boost::asio::ip::udp;
+  const Address& peer = StateOf(node).settings.peer_address;
+  udp::socket socket(io, udp::v4());
+  socket.send_to(
+      boost::asio::buffer(heartbeat.Encode()),
+      udp::endpoint(boost::asio::ip::make_address(peer.host), peer.port));
+}
+
 bool DeploymentFixture::RolesAreSettled() const {
   size_t followers = 0;
   for (size_t domain = 0; domain < domains_; ++domain) {
--- a/tests/qh_gateway/deployment_fixture.h
+++ b/tests/qh_gateway/deployment_fixture.h
@@ -32,6 +32,9 @@
   void PutServer(size_t server, bool draining);
   void RemoveServer(size_t server);
 
+  // A peer that stops right after it tells `node` of a verdict.
+  void TellVerdict(size_t node, const CrashVerdict& verdict);
+
   const GatewayState& StateOf(size_t node) const {
     return nodes_[node]->state();
   }
@@ -61,6 +64,8 @@
 
   std::vector<std::unique_ptr<GatewayNode>> nodes_;
   size_t domains_ = 1;
+  // Heartbeats of TellVerdict so far.
+  uint64_t told_ = 0;
 };
 
 }  // namespace qh
--- a/tests/qh_gateway/fake_object_store.cpp
+++ b/tests/qh_gateway/fake_object_store.cpp
@@ -232,6 +232,17 @@
   }
 }
 
+std::map<std::string, std::string> FakeObjectStore::Contents(
+    const std::string& kind) const {
+  std::map<std::string, std::string> contents;
+  if (const auto found = objects_.find(kind); found != objects_.end()) {
+    for (const auto& [name, object] : found->second) {
+      contents[name] = object.content;
+    }
+  }
+  return contents;
+}
+
 bool FakeObjectStore::HasOpenWatch(size_t client,
                                    const std::string& kind) const {
   return std::any_of(connections_.begin(), connections_.end(),
@@ -267,8 +278,15 @@
 
 FakeObjectStore::Reply FakeObjectStore::Write(const ObjectStoreCall& call,
                                               const std::string& body) {
+  if (call.method == "DELETE") {
+    if (!objects_[call.kind].contains(call.name)) {
+      return {.status = kNotFound};
+    }
+    Remove(call.kind, call.name);
+    return {.status = kOk};
+  }
   const Json object = Json::parse(body, nullptr, false);
-  if (call.method == "DELETE" || !object.contains("metadata")) {
+  if (!object.contains("metadata")) {
     return {.status = kNotFound};
   }
   const std::string name = object["metadata"].value("name", "");
--- a/tests/qh_gateway/fake_object_store.h
+++ b/tests/qh_gateway/fake_object_store.h
@@ -57,6 +57,8 @@
   // answered.
   void SetFault(Fault fault) { fault_ = std::move(fault); }
 
+  // Returns the contents of all objects of `kind`, by name.
+  std::map<std::string, std::string> Contents(const std::string& kind) const;
   // Whether `client` has an open watch of `kind`.
   bool HasOpenWatch(size_t client, const std::string& kind) const;
   // Calls received so far.
