A request that waits at a server is taken back once it is blocked

What callers saw: servers that went on crashing after the verdict, because requests with the part had been sent before and waited there for their turn, each with the sound requests that ran beside it.

Change: when features are blocked, requests that have them and whose answer has not begun close their connection, which cancels them at the server, and are answered 502: they may have run. One that a leader tries on purpose goes on.

Measured: "a request that waits at a server is taken back when blocked" fails without the call (the request waited for its deadline), passes with it.

--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -239,6 +239,11 @@
           self->OnServerLeaving(leaves_in);
         }
       };
+  state_.features_blocked_listeners[this] = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnFeaturesBlocked();
+    }
+  };
   ServerDispatch dispatch{
       .server_id = pick.server.value(),
       .team = team_ == nullptr ? std::string() : team_->id.value(),
@@ -337,6 +342,7 @@
   }
   const TimePoint now = MonotonicNow();
   time_to_first_byte_ = now - attempt_started_;
+  state_.features_blocked_listeners.erase(this);
   state_.picker.OnResponseStarted(*pick_, service_->name,
                                   service_->engine.has_value(),
                                   *time_to_first_byte_);
@@ -470,6 +476,7 @@
       state_.server_leaving_listeners.erase(listeners);
     }
   }
+  state_.features_blocked_listeners.erase(this);
   const TimePoint now = MonotonicNow();
   const bool ejected = state_.picker.OnEnded(
       *pick_, time_to_first_byte_.has_value(), outcome, now);
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -87,6 +87,9 @@
   bool MaySend() const;
   // Answers a request that MaySend forbids.
   void RefuseSend();
+  // Takes the request back from a server that has not begun to answer it, if it
+  // is blocked now.
+  void OnFeaturesBlocked();
   // Arms the timer that ends the exchange at `when`.
   void ArmDeadlineTimer(TimePoint when);
   // The final answer is due, unless the answer has begun.
--- a/modules/qh_gateway/forwarding/exchange_admission.cpp
+++ b/modules/qh_gateway/forwarding/exchange_admission.cpp
@@ -113,6 +113,19 @@
                         "crashed several servers"));
 }
 
+void Exchange::OnFeaturesBlocked() {
+  const bool blocked =
+      !is_trial_ && state_.crash_tracker.Judge(features_, MonotonicNow()) ==
+                        Suspicion::kBlocked;
+  if (finished_ || connection_ == nullptr || !blocked) {
+    return;
+  }
+  connection_->Close();
+  EndAttempt(AttemptOutcome::kAbandoned,
+             "blocked while it waited at the server");
+  RefuseSend();
+}
+
 bool Exchange::ChargeTeamLimit() {
   if (team_ == nullptr) {
     return true;
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -1,5 +1,7 @@
 #include "qh_gateway/forwarding/gateway_state.h"
 
+#include <boost/asio/post.hpp>
+
 namespace qh {
 namespace {
 
@@ -96,6 +98,18 @@
                       ToMilliseconds(MonotonicNow() - verdict.crashed))
                 .With("trials", verdict.trials),
             event);
+  if (change == CrashTracker::VerdictChange::kAdded) {
+    // Later, because the requests' ends change the tracker.
+    boost::asio::post(io, [this] { TellFeaturesBlocked(); });
+  }
+}
+
+void GatewayState::TellFeaturesBlocked() {
+  // Copied because each request that ends removes its listener.
+  const auto listeners = features_blocked_listeners;
+  for (const auto& [request, on_blocked] : listeners) {
+    on_blocked();
+  }
 }
 
 void GatewayState::OnServerChange(ServerChange change,
--- a/tests/qh_gateway/crashing_part_test.cpp
+++ b/tests/qh_gateway/crashing_part_test.cpp
@@ -116,6 +116,36 @@
   CHECK(bad_received() <= 5);
 }
 
+// Guards against servers that crash of requests which wait there while others
+// show what they do.
+TEST_CASE_METHOD(
+    GatewayFixture,
+    "a request that waits at a server is taken back when blocked") {
+  const std::string path = GENERATE("/resume/", "/stream/");
+  AddServer("slow", "chat", [](size_t, const HttpHead&) {
+    return ScriptedReply{.then = Then::kStall};
+  });
+  const ScriptedCaller& waiting =
+      SendRequest("GET", path + "0", "waiting",
+                  std::string("Prompt-Prefix: ") + kBadPart + ",e0:20\r\n");
+  RunFor(milliseconds(20));
+  CallerRequest request;
+  request.prompt_parts = {{.id = 0xbad}, {.id = 0xe0}};
+  CrashVerdict verdict;
+  const RequestFeatures features(request, "");
+  for (const Feature feature : features.sorted()) {
+    if (IsPromptPart(feature)) {
+      verdict.features.push_back(feature);
+    }
+  }
+  const TimePoint now = MonotonicNow();
+  verdict.refused = now;
+  state.crash_tracker.OnPeer({.made = now, .verdicts = {verdict}}, false, now);
+  RunFor(milliseconds(20));
+  // It may have run, so that it is not refused.
+  CHECK(Has(waiting.received(), " 502 "));
+}
+
 // Guards against an answer that looks complete because its server closed the
 // connection in order as it crashed.
 TEST_CASE_METHOD(GatewayFixture,
