--- a/modules/qh_gateway/control/leader_tasks.h
+++ b/modules/qh_gateway/control/leader_tasks.h
@@ -5,6 +5,8 @@
 // that a retry, also by the next leader, sends the same counts. A store that
 // was restored from an older copy may have lost that record. The report is then
 // only sent by a leader that knows its counts or that none was sent.
+// The implementation is in leader_tasks.cpp (lease, orders) and
+// leader_tasks_reports.cpp (usage).
 
 #ifndef QH_GATEWAY_CONTROL_LEADER_TASKS_H_
 #define QH_GATEWAY_CONTROL_LEADER_TASKS_H_
