--- a/modules/qh_gateway/decisions/crash_tracker.h
+++ b/modules/qh_gateway/decisions/crash_tracker.h
@@ -197,6 +197,8 @@
   // Whether a verdict that is no less likely a cause explains all crashes of
   // this one, and more.
   bool IsSuperseded(const CrashVerdict& verdict) const;
+  // Removes the verdict on exactly these features, and reports its end to
+  // on_verdict_.
   void EndVerdict(const std::vector<Feature>& features);
   // Ends the verdicts that are superseded.
   void EndSuperseded();
--- a/modules/qh_gateway/decisions/crash_verdicts.cpp
+++ b/modules/qh_gateway/decisions/crash_verdicts.cpp
@@ -23,8 +23,8 @@
 }  // namespace
 
 bool CrashVerdicts::Add(const CrashVerdict& verdict) {
-  const auto refused = refused_until_.find(verdict.features);
-  if (refused != refused_until_.end() && verdict.decided <= refused->second) {
+  const auto ended = decided_after_.find(verdict.features);
+  if (ended != decided_after_.end() && verdict.decided <= ended->second) {
     return false;
   }
   for (CrashVerdict& known : verdicts_) {
@@ -63,8 +63,8 @@
 
 void CrashVerdicts::RefuseOlder(const std::vector<Feature>& features,
                                 TimePoint now) {
-  if (refused_until_.size() < kMaxVerdicts) {
-    refused_until_[features] = now;
+  if (decided_after_.size() < kMaxVerdicts) {
+    decided_after_[features] = now;
   }
 }
 
@@ -142,7 +142,7 @@
   std::erase_if(verdicts_, [&](const CrashVerdict& verdict) {
     return now - verdict.refused > kLifetime;
   });
-  std::erase_if(refused_until_, [&](const auto& entry) {
+  std::erase_if(decided_after_, [&](const auto& entry) {
     return now - entry.second > kLifetime;
   });
 }
--- a/modules/qh_gateway/decisions/crash_verdicts.h
+++ b/modules/qh_gateway/decisions/crash_verdicts.h
@@ -86,8 +86,9 @@
   CrashVerdict* FindMutable(const std::vector<Feature>& sorted);
 
   std::vector<CrashVerdict> verdicts_;
-  // See RefuseOlder; at most kMaxVerdicts.
-  std::map<std::vector<Feature>, TimePoint> refused_until_;
+  // See RefuseOlder: by features, the time after which a verdict must have been
+  // decided to be added. At most kMaxVerdicts.
+  std::map<std::vector<Feature>, TimePoint> decided_after_;
 };
 
 }  // namespace qh
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -90,8 +90,9 @@
   // reclaimed. By server, then by the request that runs there.
   std::map<ServerId, std::map<const void*, std::function<void(Duration)>>>
       server_leaving_listeners;
-  // Called when features were blocked. By the request that a server has and has
-  // not begun to answer.
+  // Called when features were blocked, so that requests with them are taken
+  // back. Holds the requests that were sent to a server and whose answer has
+  // not begun, by their address.
   std::map<const void*, std::function<void()>> features_blocked_listeners;
   // Prompt tokens not expected in an engine's prefix cache, summed over all
   // attempts of this node, by service.
@@ -102,6 +103,7 @@
  private:
   void OnCrashVerdict(CrashTracker::VerdictChange change,
                       const CrashVerdict& verdict);
+  // Calls features_blocked_listeners.
   void TellFeaturesBlocked();
   void OnServerChange(ServerChange change, const ServerRecord& server);
 };
--- a/tests/qh_gateway/deployment_fixture.h
+++ b/tests/qh_gateway/deployment_fixture.h
@@ -32,7 +32,7 @@
   void PutServer(size_t server, bool draining);
   void RemoveServer(size_t server);
 
-  // A peer that stops right after it tells `node` of a verdict.
+  // Sends `node` a heartbeat with a verdict, from a peer that does not exist.
   void TellVerdict(size_t node, const CrashVerdict& verdict);
 
   const GatewayState& StateOf(size_t node) const {
