The limit that a server names in an answer is read and logged

Each answer with a limit is a line server_limit with the server, the limit and the node. Nothing is decided by it yet.

--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -77,6 +77,13 @@
   if (traits.leaving) {
     directory.OnLeaving(process, now);
   }
+  if (traits.rate_limit) {
+    log.Write(LogLine(ToName(GatewayEvent::kServerLimit))
+                  .With("server", process.id.value())
+                  .With("per_second", *traits.rate_limit)
+                  .With("from", settings.node.value()),
+              GatewayEvent::kServerLimit);
+  }
   if (!traits.pause) {
     return;
   }
--- a/modules/qh_gateway/model/caller_request.h
+++ b/modules/qh_gateway/model/caller_request.h
@@ -94,6 +94,12 @@
   // The server refused the request for lack of capacity and asks the gateway to
   // send it nothing for this time.
   std::optional<Duration> pause;
+  // Requests per second that the server takes from all nodes together; nullopt
+  // when the answer names none.
+  std::optional<double> rate_limit;
+  // The answer names a rate limit that can't be read. It says nothing about the
+  // limit in force.
+  bool has_unreadable_rate_limit = false;
   // The body has a content encoding, which an intermediary between the server
   // and the gateway must have applied.
   bool encoded = false;
