Test, failing: a server gets no more requests than the limit that it names

One node, 50 requests a second for 4 s. A lone server that names 1 a second got about 200 of them; one beside a server without a limit got 95; 11 are allowed.

--- /dev/null
+++ b/tests/qh_gateway/server_limit_test.cpp
@@ -0,0 +1,78 @@
+// Servers whose answers name the requests a second that they take from all
+// nodes together: what one node sends them over sockets.
+
+#include <catch2/catch.hpp>
+
+#include "tests/qh_gateway/gateway_fixture.h"
+
+namespace qh {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Time between two requests of the callers.
+constexpr Duration kRequestInterval = milliseconds(20);
+constexpr Duration kWatched = seconds(4);
+
+// Returns an answer that names `limit`.
+std::string LimitedAnswer(const std::string& limit) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: s\r\n"
+         "Server-Limit: " +
+         limit + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+ScriptedServer::Script AlwaysLimited(const std::string& limit) {
+  return [limit](size_t, const HttpHead&) {
+    return ScriptedReply{.bytes = LimitedAnswer(limit)};
+  };
+}
+
+struct LimitFixture : GatewayFixture {
+  // Sends requests for kWatched and returns how many `server` got meanwhile.
+  size_t SendMany(const ScriptedServer& server,
+                  const std::string& path = "/unsafe/x") {
+    const size_t before = server.requests().size();
+    const TimePoint end = MonotonicNow() + kWatched;
+    for (size_t i = 0; MonotonicNow() < end; ++i) {
+      SendRequest("GET", path, "q" + std::to_string(i));
+      RunFor(kRequestInterval);
+    }
+    return server.requests().size() - before;
+  }
+  // Lets `server` name its limit in the answer to one request.
+  void HearLimit(const ScriptedServer& server) {
+    SendRequest("GET", "/unsafe/x", "first");
+    REQUIRE(RunUntil([&] { return server.requests().size() == 1; }));
+    RunFor(milliseconds(20));
+  }
+};
+
+// Returns the most requests that a server with `limit` may get in kWatched.
+size_t Allowed(double limit) {
+  return static_cast<size_t>(1.5 * limit * ToSeconds(kWatched) + 5);
+}
+
+}  // namespace
+
+// Guards against requests sent to a server beyond the limit that its answers
+// name (LIMIT).
+TEST_CASE_METHOD(LimitFixture,
+                 "a server gets no more requests than the limit that it names") {
+  auto& server = AddServer("a", "plain", AlwaysLimited("1"));
+  HearLimit(server);
+  CHECK(SendMany(server) <= Allowed(1));
+}
+
+TEST_CASE_METHOD(LimitFixture,
+                 "a limited server is kept to its limit beside one without") {
+  auto& server = AddServer("a", "plain", AlwaysLimited("1"));
+  HearLimit(server);
+  auto& other = AddServer("b", "plain", [](size_t, const HttpHead&) {
+    return ScriptedReply{.bytes = StampedAnswer(200, "ok")};
+  });
+  CHECK(SendMany(server) <= Allowed(1));
+  CHECK(other.requests().size() > 100);
+}
+
+}  // namespace qh
