Every send to a server asks the limit that the server names

What callers and servers saw: a server that named 1 request a second got 27 in 4 s, 11 allowed, and nothing changed for it when it named the limit.

Cause: no node read the field. The class: what a server says of itself is state that all nodes share, and each of the ways to send has to ask it.

Change: ServerRateLimits. A few nodes, which all nodes rank alike by rendezvous hashing, are a limited server's senders, and each has an equal share with a small burst, so that all nodes together keep to the limit however late they hear of each other. With 118 nodes a limit of 1 a second has 5 senders. What is known has a version per server process and goes round with the heartbeats, a change at once. SendAttempt takes a permit (first try, retry, replacement, resumed and migrated stream), the call that asks the source of a migration too; the picker passes over servers without a permit. With no permit at any server the request is refused at once with the time to the next; where all servers of a service have limits, less urgent requests yield to more urgent ones.

A limit of which no answer is heard has a trickle of one request in 10 s, and after 30 s all nodes as its senders. server_limit and server_limit_use log the limit, by whose word, its age, sends and times passed over.

Why no second TeamRateLimiter: a team's callers choose their nodes, so that its units have to follow demand and reports; a request can go to another server, so that equal shares will do, and they need no reports.

--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -236,6 +236,7 @@
   state_.log.OnTick(now);
   state_.directory.OnTick(store_reachability_.KeepsMissingServers(now), now);
   state_.picker.OnTick(now);
+  state_.ReportRateLimitUse(now);
   state_.connection_pool.OnTick(now);
   state_.crash_tracker.OnTick(now);
   peers_.OnTick(now, FollowsStore());
@@ -358,6 +359,9 @@
   state_.metrics.Set(
       {.name = "gateway_crash_verdicts"},
       static_cast<double>(state_.crash_tracker.verdicts().size()));
+  state_.metrics.Set(
+      {.name = "gateway_limited_servers"},
+      static_cast<double>(state_.picker.rate_limits().limited_servers()));
   state_.metrics.Set({.name = "gateway_holds_duties"},
                      leader_tasks_.is_leader() ? 1.0 : 0.0);
   return {.content_type = "text/plain; version=0.0.4",
--- a/modules/qh_gateway/control/peer_exchange.cpp
+++ b/modules/qh_gateway/control/peer_exchange.cpp
@@ -97,6 +97,7 @@
                             const FailureDomainId& domain,
                             double capacity,
                             TimePoint now) {
+  listed_ = true;
   nodes_.OnListed(node, peers, domain, now);
   ranking_.OnListed(node, domain, capacity, now);
 }
@@ -113,12 +114,25 @@
   // With relays most nodes are known by the relays' lists.
   nodes_.SetHeartbeatInterval(has_relays() ? kMemberListInterval
                                            : heartbeat_interval());
+  ServerRateLimits& limits = state_.picker.rate_limits();
+  if (limits.limited_servers() > 0) {
+    UpdateLimitNodes(now);
+  }
   if (now >= sent_at_ + heartbeat_interval() ||
-      state_.crash_tracker.has_news()) {
+      state_.crash_tracker.has_news() || limits.has_news()) {
     SendHeartbeats(now);
   }
 }
 
+void PeerExchange::UpdateLimitNodes(TimePoint now) {
+  ServerRateLimits& limits = state_.picker.rate_limits();
+  if (listed_) {
+    limits.SetNodes(state_.settings.node.value(), nodes_.KnownNames(now));
+  } else {
+    limits.SetNodesUnknown();
+  }
+}
+
 PeerHeartbeat PeerExchange::OwnHeartbeat(TimePoint now) {
   PeerHeartbeat heartbeat{
       .node = state_.settings.node.value(),
@@ -134,6 +148,7 @@
       .store_epoch = state_.store_epoch.known(),
       .departures = state_.directory.departures().Recent(now),
       .pauses = state_.picker.pauses().Report(now),
+      .rate_limits = state_.picker.rate_limits().TakeReport(now),
       .reported_window = leader_tasks_.reported_window(),
       .outstanding_work = state_.picker.load().own(),
       .team_totals = state_.team_rate_limiter.totals(),
@@ -256,6 +271,10 @@
     state_.directory.OnLeaving(process, now);
   }
   state_.picker.pauses().OnPeer(heartbeat.pauses, now);
+  for (const ServerRateLimit& limit :
+       state_.picker.rate_limits().OnPeer(heartbeat.rate_limits, now)) {
+    state_.LogRateLimit(limit, heartbeat.node);
+  }
   leader_tasks_.OnPeerReported(heartbeat.reported_window);
   state_.wall_clock.OnPeer(heartbeat.node, heartbeat.wall_time, now);
   state_.crash_tracker.OnPeer(heartbeat.crashes, has_relays(), now);
--- a/modules/qh_gateway/control/peer_exchange.h
+++ b/modules/qh_gateway/control/peer_exchange.h
@@ -87,6 +87,8 @@
   size_t StoreFollowers() const;
 
  private:
+  // Tells the servers' rate limits which nodes divide them.
+  void UpdateLimitNodes(TimePoint now);
   PeerHeartbeat OwnHeartbeat(TimePoint now);
   // Sends the sums that this relay owes to other nodes.
   void SendAsRelay(const PeerHeartbeat& own, TimePoint now);
@@ -122,6 +124,8 @@
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, 64U << 10U> receive_buffer_{};
+  // Whether the store or a peer has listed the nodes.
+  bool listed_ = false;
   uint64_t sequence_ = 0;
   TimePoint sent_at_;
   TimePoint members_sent_at_;
--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -59,6 +59,36 @@
   return object;
 }
 
+Json RateLimitsToJson(const std::vector<ServerRateLimit>& limits) {
+  Json list = Json::array();
+  for (const ServerRateLimit& limit : limits) {
+    list.push_back({limit.process.id.value(), limit.process.started_ms,
+                    limit.version, limit.rate ? Json(*limit.rate) : Json(),
+                    limit.heard_ago.count()});
+  }
+  return list;
+}
+
+// Nodes of an earlier version don't send rate limits.
+std::vector<ServerRateLimit> RateLimitsFromJson(const Json& json) {
+  std::vector<ServerRateLimit> limits;
+  const auto found = json.find("limits");
+  if (found == json.end()) {
+    return limits;
+  }
+  for (const Json& entry : *found) {
+    ServerRateLimit limit{.process = {ServerId(entry.at(0)), entry.at(1)},
+                          .version = entry.at(2),
+                          .heard_ago = Duration(std::max<int64_t>(
+                              entry.at(4).get<int64_t>(), 0))};
+    if (!entry.at(3).is_null()) {
+      limit.rate = std::max(0.0, entry.at(3).get<double>());
+    }
+    limits.push_back(std::move(limit));
+  }
+  return limits;
+}
+
 Json VersionToJson(const StoreVersion& version) {
   return Json::array({version.epoch, version.revision});
 }
@@ -248,6 +278,7 @@
   for (const auto& [server, pause] : json.at("paused").items()) {
     heartbeat.pauses[ServerId(server)] = Duration(pause.get<int64_t>());
   }
+  heartbeat.rate_limits = RateLimitsFromJson(json);
   heartbeat.reported_window = json.at("reported");
   heartbeat.store_reachability = {AgoFromJson(json.at("answered")),
                                   AgoFromJson(json.at("returned"))};
@@ -317,6 +348,7 @@
       {"nodes_changed", VersionToJson(nodes_changed)},
       {"leaving", DeparturesToJson(departures)},
       {"paused", PausesToJson(pauses)},
+      {"limits", RateLimitsToJson(rate_limits)},
       {"reported", reported_window},
       {"answered", AgoToJson(store_reachability.answered_ago)},
       {"returned", AgoToJson(store_reachability.recovered_ago)},
--- a/modules/qh_gateway/control/peer_heartbeat.h
+++ b/modules/qh_gateway/control/peer_heartbeat.h
@@ -20,6 +20,7 @@
 #include "qh_gateway/decisions/server_departures.h"
 #include "qh_gateway/decisions/server_load.h"
 #include "qh_gateway/decisions/server_pauses.h"
+#include "qh_gateway/decisions/server_rate_limits.h"
 #include "qh_gateway/decisions/state_freshness.h"
 #include "qh_gateway/decisions/store_reachability.h"
 #include "qh_gateway/decisions/team_rate_limiter.h"
@@ -102,6 +103,8 @@
   std::vector<ServerProcess> departures;
   // Pauses that servers asked the sender for.
   PausesByServer pauses;
+  // Rate limits of servers that the sender knows, some in each heartbeat.
+  std::vector<ServerRateLimit> rate_limits;
   // The newest window whose usage the sender knows to be reported.
   int64_t reported_window = 0;
   // When the store last answered the sender.
--- a/modules/qh_gateway/decisions/node_table.cpp
+++ b/modules/qh_gateway/decisions/node_table.cpp
@@ -101,6 +101,16 @@
   return names;
 }
 
+std::vector<std::string> NodeTable::KnownNames(TimePoint now) const {
+  std::vector<std::string> names;
+  for (const auto& [node, entry] : nodes_) {
+    if (!IsGone(entry, now)) {
+      names.push_back(node);
+    }
+  }
+  return names;
+}
+
 std::optional<Address> NodeTable::AddressOf(const std::string& node) const {
   const auto found = nodes_.find(node);
   return found == nodes_.end() ? std::nullopt
--- a/modules/qh_gateway/decisions/node_table.h
+++ b/modules/qh_gateway/decisions/node_table.h
@@ -75,6 +75,8 @@
   // Returns the names of all other nodes. Includes the nodes that are gone, so
   // that they are reached again when they return.
   std::vector<std::string> Names() const;
+  // Returns the names of the peers that are not gone.
+  std::vector<std::string> KnownNames(TimePoint now) const;
   // Returns the address at which a node takes messages, if it is listed.
   std::optional<Address> AddressOf(const std::string& node) const;
   // Returns the last reported state of a node, or null.
--- a/modules/qh_gateway/decisions/server_picker.cpp
+++ b/modules/qh_gateway/decisions/server_picker.cpp
@@ -31,9 +31,9 @@
 constexpr double kFailurePenaltyMs = 2'000;
 // Penalty for a server that asked a peer for a pause.
 constexpr double kPeerPausePenaltyMs = 200;
-// Refusals while all servers are paused are spread over the pause and this
+// Refusals while no server takes requests are spread over the wait and this
 // share of it beyond, so that the callers don't return together.
-constexpr double kPauseSpread = 0.5;
+constexpr double kWaitSpread = 0.5;
 // Plain services: expected wait for each request in flight per slot.
 constexpr double kServiceMsPerOpenRequest = 40;
 // Plain services: penalty for a server in another failure domain than the node.
@@ -66,30 +66,76 @@
   return pauses_.PausedForPeer(server, now) ? kPeerPausePenaltyMs : 0;
 }
 
-Error ServerPicker::PausedError(const PickQuery& query, Duration shortest) {
-  return Error(ErrorKind::kOverloaded,
-               "every server of " + query.service->name + " asked for a pause")
-      .WithRetryAfter(FromSeconds(ToSeconds(shortest) *
-                                  (1 + kPauseSpread * rng_.Uniform())));
+Error ServerPicker::WaitError(const PickQuery& query,
+                              const std::string& reason,
+                              Duration wait) {
+  return Error(ErrorKind::kOverloaded, query.service->name + ": " + reason)
+      .WithRetryAfter(
+          FromSeconds(ToSeconds(wait) * (1 + kWaitSpread * rng_.Uniform())));
 }
 
-Result<std::vector<const ServerRecord*>> ServerPicker::EligibleServers(
+std::string ServerPicker::DescribeLimit(const ServerId& limited,
+                                        TimePoint now) const {
+  const auto limit = rate_limits_.Find(limited, now);
+  if (!limit || !limit->rate) {
+    return "no server has a permit";
+  }
+  return "no server has a permit; " + limited.value() + " takes " +
+         std::to_string(*limit->rate) + " a second, by its word " +
+         std::to_string(
+             static_cast<int64_t>(ToMilliseconds(limit->heard_ago))) +
+         " ms ago";
+}
+
+ServerPicker::Unavailable ServerPicker::RemoveUnavailable(
+    std::vector<const ServerRecord*>& servers,
     const PickQuery& query,
     TimePoint now) {
-  std::vector<const ServerRecord*> usable =
-      directory_.Usable(query.service->name);
-  std::optional<Duration> shortest_pause;
-  std::erase_if(usable, [&](const ServerRecord* server) {
+  Unavailable unavailable;
+  std::erase_if(servers, [&](const ServerRecord* server) {
+    const bool limited = rate_limits_.IsLimited(server->id);
+    unavailable.all_limited = unavailable.all_limited && limited;
     const auto pause = pauses_.Remaining(server->id, now);
-    if (pause) {
-      shortest_pause = std::min(*pause, shortest_pause.value_or(*pause));
+    const auto to_permit =
+        limited ? rate_limits_.TimeToPermit(server->id, now) : std::nullopt;
+    if (to_permit) {
+      unavailable.limited = server->id;
+    }
+    if (pause || to_permit) {
+      const Duration wait = std::max(pause.value_or(Duration::zero()),
+                                     to_permit.value_or(Duration::zero()));
+      unavailable.shortest_wait =
+          std::min(wait, unavailable.shortest_wait.value_or(wait));
     }
-    return pause || query.tried_servers.contains(server->id);
+    return pause || to_permit || query.tried_servers.contains(server->id);
   });
+  return unavailable;
+}
+
+Result<std::vector<const ServerRecord*>> ServerPicker::EligibleServers(
+    const PickQuery& query,
+    TimePoint now) {
+  const std::string& service = query.service->name;
+  std::vector<const ServerRecord*> usable = directory_.Usable(service);
+  const Unavailable unavailable = RemoveUnavailable(usable, query, now);
+  const auto to_yield = unavailable.all_limited && query.first_attempt
+                            ? urgency_.TimeToYield(service, query.priority, now)
+                            : std::nullopt;
+  if (to_yield && !usable.empty()) {
+    return WaitError(query, "the last permits are for more urgent requests",
+                     *to_yield);
+  }
+  if (usable.empty() && unavailable.limited) {
+    urgency_.OnRefused(service, query.priority, now);
+    return WaitError(
+        query, DescribeLimit(*unavailable.limited, now),
+        std::max(*unavailable.shortest_wait, to_yield.value_or(Duration())));
+  }
   if (usable.empty()) {
-    return shortest_pause ? PausedError(query, *shortest_pause)
-                          : Error(ErrorKind::kNoServer,
-                                  "no usable server of " + query.service->name);
+    return unavailable.shortest_wait
+               ? WaitError(query, "every server asked for a pause",
+                           *unavailable.shortest_wait)
+               : Error(ErrorKind::kNoServer, "no usable server of " + service);
   }
   std::vector<const ServerRecord*> healthy;
   for (const ServerRecord* server : usable) {
@@ -310,6 +356,7 @@
 void ServerPicker::OnTick(TimePoint now) {
   load_.OnTick(now);
   pauses_.OnTick(now);
+  rate_limits_.OnTick(now);
 }
 
 }  // namespace qh
--- a/modules/qh_gateway/decisions/server_picker.h
+++ b/modules/qh_gateway/decisions/server_picker.h
@@ -31,6 +31,8 @@
 #include "qh_gateway/decisions/server_directory.h"
 #include "qh_gateway/decisions/server_load.h"
 #include "qh_gateway/decisions/server_pauses.h"
+#include "qh_gateway/decisions/server_rate_limits.h"
+#include "qh_gateway/decisions/server_urgency.h"
 #include "qh_gateway/model/caller_request.h"
 #include "qh_gateway/model/service_config.h"
 
@@ -46,6 +48,8 @@
   std::set<ServerId> tried_servers;
   // Time until the request's deadline.
   Duration time_left = Duration::zero();
+  // Rank of the request among those for the service, 0 the most urgent.
+  int priority = 0;
   // Whether this is the request's first attempt. Retries and migrations are
   // never refused as overloaded.
   bool first_attempt = true;
@@ -119,6 +123,8 @@
   void OnTick(TimePoint now);
 
   ServerPauses& pauses() { return pauses_; }
+  ServerRateLimits& rate_limits() { return rate_limits_; }
+  const ServerRateLimits& rate_limits() const { return rate_limits_; }
   ServerLoad& load() { return load_; }
   const ServerLoad& load() const { return load_; }
   // Returns the measured prefill rate of the engines of `service`, in tokens
@@ -136,16 +142,34 @@
     OutstandingWork outstanding;
   };
 
-  // Returns the servers to compare: not tried, not paused, not ejected if
-  // possible. Fails like Choose when there are none.
+  // Why no server can be picked, as far as the servers themselves are the
+  // reason.
+  struct Unavailable {
+    // Shortest time until one asked for a pause, or limited, takes a request.
+    std::optional<Duration> shortest_wait;
+    // A server that is at its rate limit; nullopt if there is none.
+    std::optional<ServerId> limited;
+    // Whether every server of the service has a rate limit.
+    bool all_limited = true;
+  };
+
+  // Removes the servers that take no request now, or that were tried.
+  Unavailable RemoveUnavailable(std::vector<const ServerRecord*>& servers,
+                                const PickQuery& query,
+                                TimePoint now);
+  // Returns the servers to compare: not tried, not paused, within their rate
+  // limits, not ejected if possible. Fails like Choose when there are none.
   Result<std::vector<const ServerRecord*>> EligibleServers(
       const PickQuery& query,
       TimePoint now);
   // Returns the penalty in the score of a server that asked a peer for a pause.
   double PeerPausePenalty(const ServerId& server, TimePoint now) const;
-  // Returns the refusal for a request whose servers are all paused, the first
-  // one for `shortest` more.
-  Error PausedError(const PickQuery& query, Duration shortest);
+  // Returns the refusal for a request that no server takes before `wait`.
+  Error WaitError(const PickQuery& query,
+                  const std::string& reason,
+                  Duration wait);
+  // Returns what the servers' limits are that a request is refused for.
+  std::string DescribeLimit(const ServerId& limited, TimePoint now) const;
   // Reduces more than kMaxCompared servers to those to compare. `home_key`
   // identifies the prompt's home servers; nullopt for a request without prompt.
   void Shorten(std::vector<const ServerRecord*>& servers,
@@ -169,6 +193,8 @@
   ServerLoad load_;
   OutlierDetector outliers_;
   ServerPauses pauses_;
+  ServerRateLimits rate_limits_;
+  ServerUrgency urgency_;
   PrefixCacheEstimate prefix_cache_;
   // Exponential average of the prefill rate in tokens per millisecond, by
   // service.
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -68,6 +68,11 @@
   return deadline_ - now;
 }
 
+int Exchange::Priority() const {
+  return team_ != nullptr && team_->priority ? *team_->priority
+                                             : route_->priority;
+}
+
 size_t Exchange::MaxConnections() const {
   return std::max(kMinConnections,
                   service_->max_connections / state_.node_count());
@@ -131,6 +136,7 @@
                                .request = &request_,
                                .tried_servers = tried_servers_,
                                .time_left = TimeLeft(now),
+                               .priority = Priority(),
                                .first_attempt = attempts_ == 0},
                               now);
 }
@@ -218,6 +224,14 @@
     RefuseSend();
     return;
   }
+  if (!TakeServerPermit(pick.server)) {
+    // Other requests took the last one while the node connected.
+    state_.connection_pool.Release(connection, now);
+    tried_servers_.insert(pick.server);
+    StartAttempt();
+    return;
+  }
+  permitted_server_.reset();
   pick_ = pick;
   const ServerRecord* server = state_.directory.Find(pick.server);
   process_ = {pick.server, server == nullptr ? 0 : server->started_ms};
@@ -231,8 +245,6 @@
   may_have_run_ = true;
   state_.picker.OnSent(pick, request_);
   state_.prefill_tokens[service_->name] += pick.prefill_tokens;
-  const int priority =
-      team_ != nullptr && team_->priority ? *team_->priority : route_->priority;
   state_.server_leaving_listeners[pick.server][this] =
       [weak = weak_from_this()](Duration leaves_in) {
         if (const auto self = weak.lock()) {
@@ -253,7 +265,7 @@
                            : event_splitter_.last_id(),
       .migration_handle = std::exchange(migrated_kv_handle_, {})};
   if (service_->engine) {
-    dispatch.priority = std::clamp(priority, 0, kMaxPriority);
+    dispatch.priority = std::clamp(Priority(), 0, kMaxPriority);
   }
   const auto weak = weak_from_this();
   connection->SendRequest(
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -85,6 +85,9 @@
   // servers. Every send asks this: the first, retries, replacements and
   // migrations.
   bool MaySend() const;
+  // Takes the permit that each send to a server with a rate limit needs.
+  // Returns whether there was one.
+  bool TakeServerPermit(const ServerId& server);
   // Answers a request that MaySend forbids.
   void RefuseSend();
   // Takes the request back from a server that has not begun to answer it, if it
@@ -148,6 +151,8 @@
   void Finish();
   void LogOutcome(GatewayEvent event, int status, std::string_view reason);
 
+  // Rank of the request, 0 the most urgent: the team's, else the route's.
+  int Priority() const;
   bool is_stream() const { return route_->kind == RequestKind::kStream; }
   bool streaming_answer() const;
   Duration TimeLeft(TimePoint now) const;
@@ -205,6 +210,8 @@
   bool may_have_run_ = false;
   // The retry budget has granted the next retry.
   bool has_retry_permit_ = false;
+  // The server for which a permit was taken before the send itself.
+  std::optional<ServerId> permitted_server_;
   // A connection to the server that is to replace a stalled one is being made.
   bool connecting_replacement_ = false;
   // Whether the request counts in the team's usage; it is counted once.
--- a/modules/qh_gateway/forwarding/exchange_migration.cpp
+++ b/modules/qh_gateway/forwarding/exchange_migration.cpp
@@ -73,6 +73,13 @@
   if (source == nullptr || destination_server == nullptr) {
     return;
   }
+  // The source is asked to copy, and the destination to go on.
+  ServerRateLimits& limits = state_.picker.rate_limits();
+  if (!limits.TakePermit(source->id, MonotonicNow()) ||
+      !limits.TakePermit(destination.server, MonotonicNow())) {
+    return;
+  }
+  permitted_server_ = destination.server;
   destination_ = destination;
   migration_answered_ = false;
   source_ended_ = false;
--- a/modules/qh_gateway/forwarding/exchange_retries.cpp
+++ b/modules/qh_gateway/forwarding/exchange_retries.cpp
@@ -68,7 +68,8 @@
                                   const ServerConnectionPtr& connection,
                                   bool still_stalled) {
   const TimePoint now = MonotonicNow();
-  if (still_stalled && connection != nullptr) {
+  if (still_stalled && connection != nullptr && TakeServerPermit(pick.server)) {
+    permitted_server_ = pick.server;
     connection_->Close();
     EndAttempt(AttemptOutcome::kUnresponsive,
                "server stalled: nothing received within the timeout");
@@ -79,9 +80,9 @@
   }
   if (connection != nullptr) {
     state_.connection_pool.Release(connection, now);
-    return;
+  } else {
+    OnUnreachable(pick);
   }
-  OnUnreachable(pick);
   if (still_stalled) {
     ArmStallTimer(kStallRecheckInterval);
   }
@@ -107,6 +108,11 @@
   return true;
 }
 
+bool Exchange::TakeServerPermit(const ServerId& server) {
+  return permitted_server_ == server ||
+         state_.picker.rate_limits().TakePermit(server, MonotonicNow());
+}
+
 void Exchange::EndAttempt(AttemptOutcome outcome, const std::string& reason) {
   const TimePoint now = MonotonicNow();
   destination_.reset();
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -77,13 +77,7 @@
   if (traits.leaving) {
     directory.OnLeaving(process, now);
   }
-  if (traits.rate_limit) {
-    log.Write(LogLine(ToName(GatewayEvent::kServerLimit))
-                  .With("server", process.id.value())
-                  .With("per_second", *traits.rate_limit)
-                  .With("from", settings.node.value()),
-              GatewayEvent::kServerLimit);
-  }
+  NoteRateLimit(process, traits);
   if (!traits.pause) {
     return;
   }
@@ -94,6 +88,52 @@
             GatewayEvent::kServerPaused);
 }
 
+void GatewayState::NoteRateLimit(const ServerProcess& process,
+                                 const AnswerTraits& traits) {
+  if (traits.has_unreadable_rate_limit) {
+    return;
+  }
+  const TimePoint now = MonotonicNow();
+  ServerRateLimits& limits = picker.rate_limits();
+  if (limits.OnAnswer(process, traits.rate_limit, now)) {
+    LogRateLimit({.process = process, .rate = traits.rate_limit},
+                 settings.node.value());
+  }
+}
+
+void GatewayState::LogRateLimit(const ServerRateLimit& limit,
+                                const std::string& from) {
+  LogLine line(ToName(GatewayEvent::kServerLimit));
+  line.With("server", limit.process.id.value());
+  if (limit.rate) {
+    line.With("per_second", *limit.rate);
+  } else {
+    line.With("per_second", "none");
+  }
+  line.With("from", from)
+      .With("age_ms", ToMilliseconds(limit.heard_ago))
+      .With("limited", picker.rate_limits().limited_servers());
+  log.Write(line, GatewayEvent::kServerLimit);
+}
+
+void GatewayState::ReportRateLimitUse(TimePoint now) {
+  for (const ServerLimitUse& use : picker.rate_limits().TakeUse(now)) {
+    metrics.Count({.name = "gateway_limited_sends_total"}, use.sends);
+    metrics.Count({.name = "gateway_limited_passed_over_total"},
+                  use.passed_over);
+    log.Write(
+        LogLine(ToName(GatewayEvent::kServerLimitUse))
+            .With("server", use.limit.process.id.value())
+            .With("per_second", use.limit.rate.value_or(0))
+            .With("share", use.share)
+            .With("sends", use.sends)
+            .With("passed_over", use.passed_over)
+            .With("interval_ms", ToMilliseconds(ServerRateLimits::kUseInterval))
+            .With("age_ms", ToMilliseconds(use.limit.heard_ago)),
+        GatewayEvent::kServerLimitUse);
+  }
+}
+
 void GatewayState::OnCrashVerdict(CrashTracker::VerdictChange change,
                                   const CrashVerdict& verdict) {
   const GatewayEvent event = change == CrashTracker::VerdictChange::kAdded
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -44,6 +44,11 @@
   // A server's answer arrived: notes what the server says of itself.
   void OnServerAnswer(const ServerProcess& process, const AnswerTraits& traits);
 
+  // Logs what became known of a server's rate limit, by the word of `from`.
+  void LogRateLimit(const ServerRateLimit& limit, const std::string& from);
+  // Logs and counts what this node sent to servers with rate limits.
+  void ReportRateLimitUse(TimePoint now);
+
   // When this node ends at the latest; nothing while it isn't draining.
   std::optional<TimePoint> StopTime() const;
 
@@ -101,6 +106,8 @@
   std::optional<TimePoint> draining_since;
 
  private:
+  // Notes the rate limit that an answer names, or that it names none.
+  void NoteRateLimit(const ServerProcess& process, const AnswerTraits& traits);
   void OnCrashVerdict(CrashTracker::VerdictChange change,
                       const CrashVerdict& verdict);
   // Calls features_blocked_listeners.
--- a/modules/qh_gateway/qh_gateway.h
+++ b/modules/qh_gateway/qh_gateway.h
@@ -46,6 +46,8 @@
 #include "qh_gateway/decisions/server_load.h"
 #include "qh_gateway/decisions/server_pauses.h"
 #include "qh_gateway/decisions/server_picker.h"
+#include "qh_gateway/decisions/server_rate_limits.h"
+#include "qh_gateway/decisions/server_urgency.h"
 #include "qh_gateway/decisions/service_retry_budget.h"
 #include "qh_gateway/decisions/sliding_window_sum.h"
 #include "qh_gateway/decisions/sound_answers.h"
--- a/tests/qh_gateway/server_limit_test.cpp
+++ b/tests/qh_gateway/server_limit_test.cpp
@@ -57,8 +57,9 @@
 
 // Guards against requests sent to a server beyond the limit that its answers
 // name (LIMIT).
-TEST_CASE_METHOD(LimitFixture,
-                 "a server gets no more requests than the limit that it names") {
+TEST_CASE_METHOD(
+    LimitFixture,
+    "a server gets no more requests than the limit that it names") {
   auto& server = AddServer("a", "plain", AlwaysLimited("1"));
   HearLimit(server);
   CHECK(SendMany(server) <= Allowed(1));
@@ -75,4 +76,72 @@
   CHECK(other.requests().size() > 100);
 }
 
+// Retries after a failure, and resends of stalled requests, are sends too.
+TEST_CASE_METHOD(LimitFixture, "retries are kept to a server's limit") {
+  AddServer("a", "plain", [](size_t, const HttpHead&) {
+    return ScriptedReply{.bytes = StampedAnswer(500, "no")};
+  });
+  auto& server = AddServer("b", "plain", AlwaysLimited("1"));
+  state.picker.rate_limits().OnAnswer({ServerId("b"), 0}, 1.0, MonotonicNow());
+  CHECK(SendMany(server, "/safe/x") <= Allowed(1));
+  CHECK(server.requests().size() >= 2);
+}
+
+TEST_CASE_METHOD(LimitFixture,
+                 "what a limited service can't take is refused at once") {
+  auto& server = AddServer("a", "plain", AlwaysLimited("0.5"));
+  HearLimit(server);
+  const TimePoint asked = MonotonicNow();
+  ScriptedCaller& caller = SendRequest("GET", "/unsafe/x", "r");
+  REQUIRE(RunUntil([&] { return !caller.received().empty(); }));
+  CHECK(MonotonicNow() - asked < milliseconds(200));
+  CHECK(caller.received().substr(9, 3) == "503");
+  CHECK(caller.received().find("Retry-After: ") != std::string::npos);
+  CHECK(server.requests().size() == 1);
+}
+
+TEST_CASE_METHOD(LimitFixture,
+                 "a refusal, and an answer that is cut, name it") {
+  const bool cut = GENERATE(false, true);
+  auto& server = AddServer("a", "plain", [=](size_t, const HttpHead&) {
+    return ScriptedReply{
+        .bytes = std::string(cut ? "HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\n"
+                                   "Content-Length: 90\r\n"
+                                 : "HTTP/1.1 503 Full\r\nRequest-Id: %ID%\r\n"
+                                   "Not-Executed: 1\r\nContent-Length: 0\r\n") +
+                 "Server-Limit: 0.5\r\n\r\n",
+        .then =
+            cut ? ScriptedReply::Then::kReset : ScriptedReply::Then::kKeepOpen};
+  });
+  HearLimit(server);
+  CHECK(state.picker.rate_limits().IsLimited(ServerId("a")));
+}
+
+TEST_CASE_METHOD(LimitFixture, "an answer without a limit ends it") {
+  auto& server = AddServer("a", "plain", [](size_t request, const HttpHead&) {
+    return ScriptedReply{.bytes = request == 0 ? LimitedAnswer("2")
+                                               : StampedAnswer(200, "ok")};
+  });
+  HearLimit(server);
+  CHECK(SendMany(server) > 100);
+}
+
+TEST_CASE_METHOD(LimitFixture, "a limit that is no number says nothing") {
+  const std::string text =
+      GENERATE("x", "-1", "nan", "inf", "1e999", "", "1,2", "0x10");
+  CAPTURE(text);
+  auto& server = AddServer("a", "plain", [=](size_t request, const HttpHead&) {
+    return ScriptedReply{.bytes = LimitedAnswer(request == 0 ? "3" : text)};
+  });
+  HearLimit(server);
+  RunFor(milliseconds(400));
+  SendRequest("GET", "/unsafe/x", "second");
+  RunUntil([&] { return server.requests().size() == 2; });
+  RunFor(milliseconds(20));
+  const auto limit =
+      state.picker.rate_limits().Find(ServerId("a"), MonotonicNow());
+  REQUIRE(limit);
+  CHECK(limit->rate == 3.0);
+}
+
 }  // namespace qh
