A node doesn't take itself to be alone before it knows the others

Cause, found by simulation with the report's hypothesis: until a node has heard of a peer its count of peers is 0, and it uses the whole limit; a limit that becomes known later than one window after the start, and that of a new team, had no start share, so that every node had a full bucket and an empty window. The retry budget is divided by the same count.

Change: DeploymentSize says when the nodes are known: a peer is heard and no node was added for 1 s, or nobody was heard for 5 s after the first list. Until then limits, retry budgets and servers' limits are divided by 1,200 nodes. Each limit that a node learns of starts with a share of its burst, whenever that is.

Not shown: that this was the cause of the users' two cases; no run of 118 real processes was made.

--- a/modules/qh_gateway/control/peer_exchange.cpp
+++ b/modules/qh_gateway/control/peer_exchange.cpp
@@ -97,7 +97,9 @@
                             const FailureDomainId& domain,
                             double capacity,
                             TimePoint now) {
-  listed_ = true;
+  if (!nodes_.AddressOf(node)) {
+    size_.OnAdded(now);
+  }
   nodes_.OnListed(node, peers, domain, now);
   ranking_.OnListed(node, domain, capacity, now);
 }
@@ -105,12 +107,17 @@
 void PeerExchange::OnTick(TimePoint now, bool follows_store) {
   ranking_.SetOwnState(leader_tasks_.is_leader(), follows_store);
   state_.peer_count = nodes_.KnownCount(now);
+  const size_t unresponsive = nodes_.UnresponsiveCount(now);
+  size_.OnHeard(state_.peer_count - unresponsive, now);
+  state_.peers_known = size_.is_known();
   // With relays a report waits for the interval of its sender and of two
   // relays.
   const Duration report_age =
       has_relays() ? 3 * heartbeat_interval() : heartbeat_interval();
+  const size_t budget_peers = state_.budget_nodes() - 1;
   state_.team_rate_limiter.SetPeers(
-      state_.peer_count, nodes_.UnresponsiveCount(now), now, report_age);
+      budget_peers, state_.peers_known ? unresponsive : budget_peers, now,
+      report_age);
   // With relays most nodes are known by the relays' lists.
   nodes_.SetHeartbeatInterval(has_relays() ? kMemberListInterval
                                            : heartbeat_interval());
@@ -126,7 +133,7 @@
 
 void PeerExchange::UpdateLimitNodes(TimePoint now) {
   ServerRateLimits& limits = state_.picker.rate_limits();
-  if (listed_) {
+  if (state_.peers_known) {
     limits.SetNodes(state_.settings.node.value(), nodes_.KnownNames(now));
   } else {
     limits.SetNodesUnknown();
--- a/modules/qh_gateway/control/peer_exchange.h
+++ b/modules/qh_gateway/control/peer_exchange.h
@@ -124,8 +124,7 @@
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, 64U << 10U> receive_buffer_{};
-  // Whether the store or a peer has listed the nodes.
-  bool listed_ = false;
+  DeploymentSize size_;
   uint64_t sequence_ = 0;
   TimePoint sent_at_;
   TimePoint members_sent_at_;
--- /dev/null
+++ b/modules/qh_gateway/decisions/deployment_size.h
@@ -0,0 +1,42 @@
+// Whether a node knows how many nodes share the deployment's limits. A node
+// that has just started, or that starts together with all others, finds some of
+// them in the store's list only later. Until the list has settled it must not
+// take itself to be alone: each node would then use a whole limit.
+
+#ifndef QH_GATEWAY_DECISIONS_DEPLOYMENT_SIZE_H_
+#define QH_GATEWAY_DECISIONS_DEPLOYMENT_SIZE_H_
+
+#include <cstddef>
+#include <optional>
+
+#include "qh_core/time/time.h"
+
+namespace qh {
+
+class DeploymentSize {
+ public:
+  // The list has settled when no node was added for this time and a peer was
+  // heard.
+  static constexpr Duration kQuietTime = std::chrono::seconds(1);
+  // A node that hears no peer waits this long after the first list.
+  static constexpr Duration kAloneAfter = std::chrono::seconds(5);
+  // Nodes assumed until then: no deployment has more.
+  static constexpr size_t kAssumedNodes = 1'200;
+
+  // A node was listed for the first time.
+  void OnAdded(TimePoint now);
+  // Sets how many peers are heard at `now`.
+  void OnHeard(size_t peers, TimePoint now);
+
+  // Whether the nodes are known; true for good once they are.
+  bool is_known() const { return known_; }
+
+ private:
+  std::optional<TimePoint> first_added_;
+  TimePoint last_added_;
+  bool known_ = false;
+};
+
+}  // namespace qh
+
+#endif  // QH_GATEWAY_DECISIONS_DEPLOYMENT_SIZE_H_
--- a/modules/qh_gateway/decisions/team_rate_limiter.cpp
+++ b/modules/qh_gateway/decisions/team_rate_limiter.cpp
@@ -41,7 +41,6 @@
 
 void TeamRateLimiter::SetTeams(const std::vector<TeamRule>& teams,
                                TimePoint now) {
-  const bool just_started = now - started_ < allowance_.window;
   std::map<TeamId, Account> next;
   for (const TeamRule& team : teams) {
     if (team.rate <= 0) {
@@ -59,11 +58,10 @@
       account.unreported = known->second.unreported;
       account.largest_unreported = known->second.largest_unreported;
       account.reported = known->second.reported;
-    } else if (just_started) {
-      account.level = kStartupBurstShare * account.burst;
-      account.used.AddEvenly(WindowGrant(account) - account.level, now);
     } else {
-      account.level = BucketCapacity(account);
+      const double free = kStartupBurstShare * account.burst;
+      account.level = free * (1 - UnresponsiveShare());
+      account.used.AddEvenly(WindowGrant(account) - account.level, now);
     }
     next.emplace(team.id, account);
   }
--- a/modules/qh_gateway/decisions/team_rate_limiter.h
+++ b/modules/qh_gateway/decisions/team_rate_limiter.h
@@ -56,8 +56,9 @@
   // Share of the allowance by which a single request may exceed that, so that
   // large requests are admitted as early as small ones.
   static constexpr double kRequestHeadroom = 0.25;
-  // Share of the burst that a node may use directly after its start. The use
-  // before the start is not known and assumed to be all that the limit grants.
+  // Share of the burst that the nodes may use directly after they learned of a
+  // limit. The use before is not known and assumed to be all that the limit
+  // grants.
   static constexpr double kStartupBurstShare = 0.3;
   // Each responsive peer is assumed to have used, since its last heartbeat,
   // this share of what this node has used in that time.
--- a/modules/qh_gateway/forwarding/exchange_migration.cpp
+++ b/modules/qh_gateway/forwarding/exchange_migration.cpp
@@ -59,8 +59,8 @@
   }
   const auto destination = Choose(now);
   const bool allowed =
-      destination &&
-      state_.retry_budget.TryAcquire(service_->name, state_.node_count(), now);
+      destination && state_.retry_budget.TryAcquire(service_->name,
+                                                    state_.budget_nodes(), now);
   if (allowed) {
     StartMigration(destination.value());
   }
--- a/modules/qh_gateway/forwarding/exchange_retries.cpp
+++ b/modules/qh_gateway/forwarding/exchange_retries.cpp
@@ -36,7 +36,7 @@
   has_retry_permit_ =
       has_retry_permit_ || (pick && !connecting_replacement_ &&
                             state_.retry_budget.TryAcquire(
-                                service_->name, state_.node_count(), now));
+                                service_->name, state_.budget_nodes(), now));
   if (!pick || connecting_replacement_ || !has_retry_permit_) {
     ArmStallTimer(kStallRecheckInterval);
     return;
@@ -152,9 +152,10 @@
   EndAttempt(outcome, reason);
   const TimePoint now = MonotonicNow();
   const bool permitted = std::exchange(has_retry_permit_, false);
-  const bool retry = MayRetry() && (permitted || state_.retry_budget.TryAcquire(
-                                                     service_->name,
-                                                     state_.node_count(), now));
+  const bool retry =
+      MayRetry() &&
+      (permitted || state_.retry_budget.TryAcquire(service_->name,
+                                                   state_.budget_nodes(), now));
   if (retry) {
     RestartAnswer();
     StartAttempt();
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -11,6 +11,7 @@
 #include "qh_gateway/control/event_log.h"
 #include "qh_gateway/control/gateway_settings.h"
 #include "qh_gateway/decisions/crash_tracker.h"
+#include "qh_gateway/decisions/deployment_size.h"
 #include "qh_gateway/decisions/server_directory.h"
 #include "qh_gateway/decisions/server_picker.h"
 #include "qh_gateway/decisions/service_retry_budget.h"
@@ -52,8 +53,12 @@
   // When this node ends at the latest; nothing while it isn't draining.
   std::optional<TimePoint> StopTime() const;
 
-  // Number of nodes that share the deployment's budgets, including this one.
+  // Number of known nodes, including this one.
   size_t node_count() const { return peer_count + 1; }
+  // Number of nodes that share the deployment's budgets, including this one.
+  size_t budget_nodes() const {
+    return peers_known ? node_count() : DeploymentSize::kAssumedNodes;
+  }
 
   boost::asio::io_context& io;
   const WireCodec& codec;
@@ -86,6 +91,8 @@
   // Whether this node holds the lease of the leader.
   bool is_leader = false;
   size_t peer_count = 0;
+  // Whether peer_count counts all peers. A node without peers sets neither.
+  bool peers_known = true;
   // Requests that were started and are not finished.
   size_t open_requests = 0;
   // Callers' connections with a request of which some bytes have arrived and
--- a/modules/qh_gateway/qh_gateway.h
+++ b/modules/qh_gateway/qh_gateway.h
@@ -35,6 +35,7 @@
 #include "qh_gateway/decisions/crash_tracker.h"
 #include "qh_gateway/decisions/crash_verdicts.h"
 #include "qh_gateway/decisions/cumulative_totals.h"
+#include "qh_gateway/decisions/deployment_size.h"
 #include "qh_gateway/decisions/event_splitter.h"
 #include "qh_gateway/decisions/node_table.h"
 #include "qh_gateway/decisions/outlier_detector.h"
--- a/tests/qh_gateway/limits_test.cpp
+++ b/tests/qh_gateway/limits_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "qh_gateway/decisions/deployment_size.h"
 #include "qh_gateway/decisions/service_retry_budget.h"
 #include "qh_gateway/decisions/team_rate_limiter.h"
 #include "qh_gateway/decisions/usage_ledger.h"
@@ -37,6 +38,27 @@
       limiters_.back().SetPeers(nodes - 1, 0, kStart, report_age);
     }
   }
+  // Nodes that have started and know neither a limit nor each other.
+  explicit TeamTraffic(size_t nodes) {
+    constexpr size_t kAssumed = DeploymentSize::kAssumedNodes - 1;
+    for (size_t i = 0; i < nodes; ++i) {
+      limiters_.emplace_back(kAllowance, kStart);
+      limiters_.back().SetPeers(kAssumed, kAssumed, kStart);
+    }
+  }
+  // The nodes get their configuration `after` the time up to now.
+  void Configure(const TeamRule& limit, Duration after) {
+    now_ += after;
+    for (TeamRateLimiter& limiter : limiters_) {
+      limiter.SetTeams({limit}, now_);
+    }
+  }
+  // The nodes learn how many they are.
+  void LearnPeers(Duration report_age) {
+    for (TeamRateLimiter& limiter : limiters_) {
+      limiter.SetPeers(limiters_.size() - 1, 0, now_, report_age);
+    }
+  }
   // Runs for `length`. Every `request_interval` each node receives a request of
   // `units`. The first `connected` nodes exchange heartbeats every
   // `heartbeat_interval`; the others are partitioned.
@@ -176,6 +198,55 @@
         (8 * kRate + kBurst) * 1.1 + 140'000);
 }
 
+// Guards against nodes that each use a whole limit because they got their
+// configuration before they knew of each other (QUOTA on hundreds of nodes).
+TEST_CASE("a limit holds over nodes that don't know each other yet") {
+  constexpr double kRate = 36'000;
+  constexpr double kBurst = 72'000;
+  constexpr double kUnits = 3'000;
+  constexpr double kOffered = 300'000;
+  const size_t nodes = GENERATE(5, 30, 118);
+  const Duration first_report =
+      GENERATE(milliseconds(300), seconds(1), seconds(3), seconds(12));
+  const Duration configured = GENERATE(milliseconds(100), seconds(20));
+  CAPTURE(nodes, ToMilliseconds(first_report), ToMilliseconds(configured));
+  TeamTraffic traffic(nodes);
+  traffic.Configure(TeamLimit(kRate, kBurst), configured);
+  const Duration interval =
+      FromSeconds(kUnits * static_cast<double>(nodes) / kOffered);
+  traffic.RunStaggered(first_report, interval, kUnits, std::chrono::hours(9));
+  traffic.LearnPeers(milliseconds(450));
+  traffic.RunStaggered(seconds(16), interval, kUnits, milliseconds(450));
+  CHECK(traffic.MaxAdmittedWithin(seconds(8)) <=
+        (8 * kRate + kBurst) * 1.1 + 140'000);
+  // Little is lost for it once the nodes know each other.
+  CHECK(traffic.total() >= 0.8 * 16 * kRate);
+}
+
+TEST_CASE("a node is not alone until it has heard or waited") {
+  DeploymentSize size;
+  size.OnHeard(0, kStart);
+  CHECK_FALSE(size.is_known());
+  size.OnAdded(kStart);
+  size.OnAdded(kStart + milliseconds(900));
+  size.OnHeard(3, kStart + milliseconds(1'800));
+  CHECK_FALSE(size.is_known());
+  SECTION("a peer is heard and the list is quiet") {
+    size.OnHeard(3, kStart + milliseconds(1'900));
+    CHECK(size.is_known());
+    // Later nodes and silent peers are in the numbers themselves.
+    size.OnAdded(kStart + seconds(3));
+    size.OnHeard(0, kStart + seconds(3));
+    CHECK(size.is_known());
+  }
+  SECTION("nobody is heard") {
+    size.OnHeard(0, kStart + milliseconds(4'900));
+    CHECK_FALSE(size.is_known());
+    size.OnHeard(0, kStart + seconds(5));
+    CHECK(size.is_known());
+  }
+}
+
 TEST_CASE("partitioned nodes keep the limit together") {
   constexpr double kRate = 500'000;
   TeamTraffic traffic(5, TeamLimit(kRate, kRate));
