An odd entry of the store harms only itself

What other operators reported: one odd entry among the servers ended every process that read the list, or cost the whole list.

Cause: a list was parsed as one document, so that one number too large or bytes that are no UTF-8 lost all entries; writing an entry anew recurses, so that 100,000 levels ended the process; numbers were narrowed unchecked.

Change: bounded_json.h splits a reply into its entries without a look into them, and bounds the depth (64) before anything is parsed, copied or written. Heartbeats are bounded in depth before they are decoded.

--- a/modules/qh_core/qh_core.h
+++ b/modules/qh_core/qh_core.h
@@ -19,6 +19,7 @@
 #include "qh_core/address/address.h"
 #include "qh_core/hash/hash.h"
 #include "qh_core/random/rng.h"
+#include "qh_core/text/bounded_json.h"
 #include "qh_core/text/enum_table.h"
 #include "qh_core/text/utf8.h"
 #include "qh_core/statechart/state_chart.h"
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "qh_core/text/bounded_json.h"
 #include "qh_gateway/control/gateway_node.h"
 
 namespace qh {
@@ -229,7 +230,7 @@
 }
 
 void GatewayNode::AddNode(const StoredObject& object) {
-  const Json json = Json::parse(object.content, nullptr, false);
+  const Json json = ParseBoundedJson(object.content);
   if (!json.is_object() || !json.contains(kNodePeers) ||
       !json[kNodePeers].is_string()) {
     return;
--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "qh_core/text/bounded_json.h"
 #include "qh_core/text/utf8.h"
 
 namespace qh {
@@ -365,6 +366,10 @@
 }
 
 Result<PeerHeartbeat> PeerHeartbeat::Decode(std::string_view bytes) {
+  if (IsMessagePackTooDeep(bytes)) {
+    return Error(ErrorKind::kPeerMalformed,
+                 "heartbeat is no MessagePack, or too deep");
+  }
   try {
     const Json json = Json::from_msgpack(bytes);
     if (json.at("format") != kFormat) {
