A refusal without an id is no answer on a connection that has answered before

What other operators reported: a server that wrote an earlier refusal once more made callers believe that a request had not run, or sent it to a second server.

Cause: ServerConnection took a refusal without a request id for the answer that is due. On a connection that has carried an answer, nothing proves that.

Change: there it is passed over like an answer with another id, the answer that is due may follow, and the connection closes after it. The first final answer of a connection may still refuse without an id.

Result: "an earlier refusal written once more refuses nothing" failed with 503, 421 and 429 (421: sent to both servers) and passes; with the earlier id it passed before too. A repeat while the connection is idle ends it, as before.

Ruled out: the same id twice on one connection. A request goes to a server once; only a caller that uses an id twice could cause it.

--- a/modules/qh_gateway/forwarding/server_connection.cpp
+++ b/modules/qh_gateway/forwarding/server_connection.cpp
@@ -183,8 +183,13 @@
   }
   const AnswerTraits traits = codec_.read_answer(head);
   const bool has_no_id = traits.request_id.empty();
-  if (!has_no_id && traits.request_id != request_id_) {
-    // A late answer to an earlier request; the expected one may follow.
+  const bool answered_before = std::exchange(answered_before_, true);
+  // Without an id, only the first answer on a connection can't be one to an
+  // earlier request.
+  const bool may_be_late = has_no_id ? traits.not_executed && answered_before
+                                     : traits.request_id != request_id_;
+  if (may_be_late) {
+    // The expected answer may follow.
     skipping_answer_ = true;
     must_close_ = true;
     if (parser_.framing() == BodyFraming::kUntilClose) {
--- a/modules/qh_gateway/forwarding/server_connection.h
+++ b/modules/qh_gateway/forwarding/server_connection.h
@@ -107,6 +107,8 @@
   // The message being parsed is an interim answer (1xx) or answers an earlier
   // request; it is discarded.
   bool skipping_answer_ = false;
+  // The server has sent the head of a final answer on this connection.
+  bool answered_before_ = false;
   // on_head was called for the current request.
   bool head_delivered_ = false;
   // The whole request has been written to the socket.
