--- a/modules/qh_gateway/control/leader_tasks.cpp
+++ b/modules/qh_gateway/control/leader_tasks.cpp
@@ -237,6 +237,29 @@
     smoothed += kRateSmoothingFactor * (rate - smoothed);
   }
   previous_prefill_tokens_ = state_.prefill_tokens;
+  for (const auto& [service, sends] : state_.sends) {
+    const double rate = (sends - previous_sends_[service]) / ToSeconds(elapsed);
+    double& smoothed = own_send_rates_[service];
+    smoothed += kRateSmoothingFactor * (rate - smoothed);
+  }
+  previous_sends_ = state_.sends;
+}
+
+// Callers spread over the nodes, so that this node's requests stand for those
+// of all.
+double LeaderTasks::WithheldServers(const ServiceRule& service) const {
+  std::vector<ServerId> servers;
+  for (const ServerRecord* server : state_.directory.Usable(service.name)) {
+    servers.push_back(server->id);
+  }
+  const auto found = own_send_rates_.find(service.name);
+  if (found == own_send_rates_.end() || servers.empty()) {
+    return 0;
+  }
+  const double rate_per_server = found->second *
+                                 static_cast<double>(state_.node_count()) /
+                                 static_cast<double>(servers.size());
+  return state_.picker.rate_limits().WithheldServers(servers, rate_per_server);
 }
 
 ServiceDemand LeaderTasks::DemandOf(const ServiceRule& service) const {
@@ -254,6 +277,7 @@
   }
   demand.prefill_servers =
       prefill_rate / state_.picker.PrefillRate(service.name);
+  demand.withheld_servers = WithheldServers(service);
   return demand;
 }
 
--- a/modules/qh_gateway/control/leader_tasks.h
+++ b/modules/qh_gateway/control/leader_tasks.h
@@ -110,6 +110,8 @@
 
   // Updates this node's prefill rates once per kPlanInterval.
   void MeasurePrefillRates(TimePoint now);
+  // Returns the servers' worth of capacity that rate limits withhold.
+  double WithheldServers(const ServiceRule& service) const;
   // Plans the capacity of each scaled service and sends the resulting orders.
   // Every node plans, so that a new leader knows the recent demand; only the
   // leader sends orders.
@@ -145,6 +147,10 @@
   std::map<std::string, double> peer_prefill_rates_;
   // Prompt tokens counted up to rates_measured_at_, by service.
   std::map<std::string, double> previous_prefill_tokens_;
+  // Requests that this node sent, smoothed per second, and in total at the last
+  // measurement, by service.
+  std::map<std::string, double> own_send_rates_;
+  std::map<std::string, double> previous_sends_;
   // By service, in prompt tokens per millisecond.
   std::map<std::string, double> own_prefill_rates_;
   TimePoint rates_measured_at_;
--- a/modules/qh_gateway/decisions/capacity_planner.cpp
+++ b/modules/qh_gateway/decisions/capacity_planner.cpp
@@ -26,9 +26,11 @@
                                       const ServiceDemand& demand,
                                       TimePoint now) const {
   const double slots = service.engine ? service.engine->slots : 1;
-  const double current = std::max(
-      {1.0, demand.open_requests / (slots * settings_.slot_utilization),
-       demand.prefill_servers / settings_.prefill_utilization});
+  const double current =
+      std::max({1.0,
+                demand.open_requests / (slots * settings_.slot_utilization),
+                demand.prefill_servers / settings_.prefill_utilization}) +
+      demand.withheld_servers;
   const Duration elapsed = now - history.averaged_at.value_or(now);
   const double weight =
       history.averaged_at
--- a/modules/qh_gateway/decisions/capacity_planner.h
+++ b/modules/qh_gateway/decisions/capacity_planner.h
@@ -27,6 +27,8 @@
   double open_requests = 0;
   // Prefill work that arrives, as the number of servers that it keeps busy.
   double prefill_servers = 0;
+  // Servers' worth of capacity that rate limits withhold.
+  double withheld_servers = 0;
 };
 
 class CapacityPlanner {
--- a/modules/qh_gateway/decisions/server_rate_limits.cpp
+++ b/modules/qh_gateway/decisions/server_rate_limits.cpp
@@ -289,6 +289,18 @@
   return use;
 }
 
+double ServerRateLimits::WithheldServers(const std::vector<ServerId>& servers,
+                                         double rate) const {
+  double withheld = 0;
+  for (const ServerId& server : servers) {
+    const auto found = servers_.find(server);
+    if (found != servers_.end() && found->second.rate && rate > 0) {
+      withheld += std::max(0.0, 1 - *found->second.rate / rate);
+    }
+  }
+  return withheld;
+}
+
 size_t ServerRateLimits::limited_servers() const {
   return static_cast<size_t>(
       std::count_if(servers_.begin(), servers_.end(),
--- a/modules/qh_gateway/decisions/server_rate_limits.h
+++ b/modules/qh_gateway/decisions/server_rate_limits.h
@@ -112,6 +112,10 @@
   // Returns what this node did under each limit, every kUseInterval; empty in
   // between.
   std::vector<ServerLimitUse> TakeUse(TimePoint now);
+  // Returns how many servers' worth of capacity the limits of `servers`
+  // withhold, when each of them would get `rate` requests per second without.
+  double WithheldServers(const std::vector<ServerId>& servers,
+                         double rate) const;
   // Number of servers with a limit.
   size_t limited_servers() const;
 
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -8,15 +8,8 @@
 namespace qh {
 namespace {
 
-// Failed connection attempts after which a request is refused.
-constexpr uint32_t kMaxConnectFailures = 3;
-// A retryable request is retried at another server if its answer has not begun
-// after the larger of these multiples of the route's latency target and of the
-// time that the picker expected.
-constexpr int kFirstByteTimeoutFactor = 2;
-constexpr int kExpectedTimeFactor = 4;
-// The same for the pause between two events, as a multiple of the route's
-// target.
+// A stream has stalled after a pause between two events of this multiple of the
+// route's target.
 constexpr int kEventGapTimeoutFactor = 2;
 // Time for an answer to reach the caller, and the largest share of the caller's
 // deadline that is kept for it.
@@ -27,15 +20,9 @@
 constexpr Duration kMinCallerPatience = std::chrono::seconds(2);
 constexpr int kPatienceLatencyFactor = 4;
 constexpr int kPatienceGapFactor = 8;
-constexpr auto kNoServerRetryAfter = std::chrono::milliseconds(400);
 // Most bytes of one answer, or of one event, that the gateway holds until it is
 // complete. A faulty server may send bytes without end.
 constexpr size_t kMaxHeldBytes = size_t{4} << 20U;
-// Priorities sent to engines are 0 (most urgent) to 9.
-constexpr int kMaxPriority = 9;
-// Lower bound on the connections of a node to one server; fewer would limit its
-// throughput.
-constexpr size_t kMinConnections = 8;
 
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
@@ -68,16 +55,6 @@
   return deadline_ - now;
 }
 
-int Exchange::Priority() const {
-  return team_ != nullptr && team_->priority ? *team_->priority
-                                             : route_->priority;
-}
-
-size_t Exchange::MaxConnections() const {
-  return std::max(kMinConnections,
-                  service_->max_connections / state_.node_count());
-}
-
 void Exchange::Start() {
   ++state_.open_requests;
   if (!SelectRoute() || !AuthenticateTeam() || !CheckBlockedFeatures() ||
@@ -130,169 +107,6 @@
   OnDeadline();
 }
 
-Result<ServerPick> Exchange::Choose(TimePoint now) {
-  return state_.picker.Choose({.route = route_,
-                               .service = service_,
-                               .request = &request_,
-                               .tried_servers = tried_servers_,
-                               .time_left = TimeLeft(now),
-                               .priority = Priority(),
-                               .first_attempt = attempts_ == 0},
-                              now);
-}
-
-void Exchange::StartAttempt() {
-  const TimePoint now = MonotonicNow();
-  if (TimeLeft(now) < kMinAttemptTime) {
-    OnDeadline();
-    return;
-  }
-  const auto pick = Choose(now);
-  if (!pick) {
-    Error error = pick.error();
-    if (error.kind() == ErrorKind::kNoServer) {
-      error = error.WithRetryAfter(kNoServerRetryAfter);
-    }
-    AnswerWithError(error);
-    return;
-  }
-  const ServerRecord* server = state_.directory.Find(pick.value().server);
-  state_.connection_pool.Acquire(
-      *server, !route_->retryable(), MaxConnections(), now,
-      [self = shared_from_this(),
-       pick = pick.value()](const ServerConnectionPtr& connection) {
-        self->OnConnectionReady(pick, connection);
-      });
-}
-
-void Exchange::OnConnectionReady(const ServerPick& pick,
-                                 const ServerConnectionPtr& connection) {
-  const TimePoint now = MonotonicNow();
-  if (finished_) {
-    if (connection != nullptr) {
-      state_.connection_pool.Release(connection, now);
-    }
-    return;
-  }
-  if (connection != nullptr) {
-    const ServerRecord* server = state_.directory.Find(pick.server);
-    const bool left = server == nullptr || server->draining;
-    if (left || state_.picker.IsPaused(pick.server, now)) {
-      // The server left, or asked for a pause, while the node connected to it.
-      state_.connection_pool.Release(connection, now);
-      if (left) {
-        state_.connection_pool.CloseIdle(pick.server);
-      }
-      tried_servers_.insert(pick.server);
-      StartAttempt();
-      return;
-    }
-    SendAttempt(pick, connection);
-    return;
-  }
-  OnUnreachable(pick);
-  if (++connect_failures_ >= kMaxConnectFailures) {
-    AnswerWithError(Error(ErrorKind::kNoServer,
-                          "can't connect to the servers that were tried")
-                        .WithRetryAfter(kNoServerRetryAfter));
-    return;
-  }
-  StartAttempt();
-}
-
-void Exchange::OnUnreachable(const ServerPick& pick) {
-  tried_servers_.insert(pick.server);
-  const bool ejected = state_.picker.OnUnreachable(pick.server, MonotonicNow());
-  state_.log.Write(LogLine(ToName(GatewayEvent::kAttemptFailed))
-                       .With("request", request_.id)
-                       .With("server", pick.server.value())
-                       .With("end", ToName(AttemptOutcome::kUnreachable))
-                       .With("aside", ejected),
-                   GatewayEvent::kAttemptFailed);
-}
-
-void Exchange::SendAttempt(const ServerPick& pick,
-                           const ServerConnectionPtr& connection) {
-  const TimePoint now = MonotonicNow();
-  if (TimeLeft(now) < kMinAttemptTime) {
-    state_.connection_pool.Release(connection, now);
-    OnDeadline();
-    return;
-  }
-  if (!MaySend()) {
-    state_.connection_pool.Release(connection, now);
-    RefuseSend();
-    return;
-  }
-  if (!TakeServerPermit(pick.server)) {
-    // Other requests took the last one while the node connected.
-    state_.connection_pool.Release(connection, now);
-    tried_servers_.insert(pick.server);
-    StartAttempt();
-    return;
-  }
-  permitted_server_.reset();
-  pick_ = pick;
-  const ServerRecord* server = state_.directory.Find(pick.server);
-  process_ = {pick.server, server == nullptr ? 0 : server->started_ms};
-  connection_ = connection;
-  attempt_started_ = now;
-  time_to_first_byte_.reset();
-  has_answer_head_ = false;
-  sound_noted_ = false;
-  ++attempts_;
-  tried_servers_.insert(pick.server);
-  may_have_run_ = true;
-  state_.picker.OnSent(pick, request_);
-  state_.prefill_tokens[service_->name] += pick.prefill_tokens;
-  state_.server_leaving_listeners[pick.server][this] =
-      [weak = weak_from_this()](Duration leaves_in) {
-        if (const auto self = weak.lock()) {
-          self->OnServerLeaving(leaves_in);
-        }
-      };
-  state_.features_blocked_listeners[this] = [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      self->OnFeaturesBlocked();
-    }
-  };
-  ServerDispatch dispatch{
-      .server_id = pick.server.value(),
-      .team = team_ == nullptr ? std::string() : team_->id.value(),
-      .time_left = TimeLeft(now),
-      .last_event_id = event_splitter_.last_id().empty()
-                           ? request_.last_event_id
-                           : event_splitter_.last_id(),
-      .migration_handle = std::exchange(migrated_kv_handle_, {})};
-  if (service_->engine) {
-    dispatch.priority = std::clamp(Priority(), 0, kMaxPriority);
-  }
-  const auto weak = weak_from_this();
-  connection->SendRequest(
-      state_.codec.write_dispatch(request_, dispatch), request_.id,
-      {.on_head =
-           [weak](const HttpHead& head, const AnswerTraits& traits) {
-             if (const auto self = weak.lock()) {
-               self->OnHead(head, traits);
-             }
-           },
-       .on_body =
-           [weak](const std::string& bytes) {
-             if (const auto self = weak.lock()) {
-               self->OnBody(bytes);
-             }
-           },
-       .on_end =
-           [weak](const Result<AnswerEnd>& result) {
-             if (const auto self = weak.lock()) {
-               self->OnEnd(result);
-             }
-           }});
-  ArmStallTimer(
-      std::max<Duration>(kFirstByteTimeoutFactor * route_->latency_target,
-                         kExpectedTimeFactor * pick.expected_ttfb));
-}
-
 void Exchange::OnDeadline() {
   if (connection_ != nullptr) {
     connection_->Close();
--- a/modules/qh_gateway/forwarding/exchange_retries.cpp
+++ b/modules/qh_gateway/forwarding/exchange_retries.cpp
@@ -108,11 +108,6 @@
   return true;
 }
 
-bool Exchange::TakeServerPermit(const ServerId& server) {
-  return permitted_server_ == server ||
-         state_.picker.rate_limits().TakePermit(server, MonotonicNow());
-}
-
 void Exchange::EndAttempt(AttemptOutcome outcome, const std::string& reason) {
   const TimePoint now = MonotonicNow();
   destination_.reset();
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -90,9 +90,9 @@
 
   // Whether this node holds the lease of the leader.
   bool is_leader = false;
-  size_t peer_count = 0;
   // Whether peer_count counts all peers. A node without peers sets neither.
   bool peers_known = true;
+  size_t peer_count = 0;
   // Requests that were started and are not finished.
   size_t open_requests = 0;
   // Callers' connections with a request of which some bytes have arrived and
@@ -109,6 +109,8 @@
   // Prompt tokens not expected in an engine's prefix cache, summed over all
   // attempts of this node, by service.
   std::map<std::string, double> prefill_tokens;
+  // Requests that this node sent to servers, by service.
+  std::map<std::string, double> sends;
   // When the process was asked to stop; nothing before that.
   std::optional<TimePoint> draining_since;
 
--- a/tests/qh_gateway/deployment_fixture.cpp
+++ b/tests/qh_gateway/deployment_fixture.cpp
@@ -66,13 +66,19 @@
 }
 
 void DeploymentFixture::TellVerdict(size_t node, const CrashVerdict& verdict) {
-  const TimePoint now = MonotonicNow();
-  const PeerHeartbeat heartbeat{
-      .node = "stopping",
-      .incarnation = "1",
-      .sequence = ++told_,
-      .draining = true,
-      .crashes = {.made = now, .verdicts = {verdict}}};
+  Tell(node, {.crashes = {.made = MonotonicNow(), .verdicts = {verdict}}});
+}
+
+void DeploymentFixture::TellRateLimit(size_t node,
+                                      const ServerRateLimit& limit) {
+  Tell(node, {.rate_limits = {limit}});
+}
+
+void DeploymentFixture::Tell(size_t node, PeerHeartbeat heartbeat) {
+  heartbeat.node = "stopping";
+  heartbeat.incarnation = "1";
+  heartbeat.sequence = ++told_;
+  heartbeat.draining = true;
   using boost::asio::ip::udp;
   const Address& peer = StateOf(node).settings.peer_address;
   udp::socket socket(io, udp::v4());
--- a/tests/qh_gateway/deployment_fixture.h
+++ b/tests/qh_gateway/deployment_fixture.h
@@ -34,6 +34,8 @@
 
   // Sends `node` a heartbeat with a verdict, from a peer that does not exist.
   void TellVerdict(size_t node, const CrashVerdict& verdict);
+  // Sends `node` a heartbeat with a server's rate limit, from the same peer.
+  void TellRateLimit(size_t node, const ServerRateLimit& limit);
 
   const GatewayState& StateOf(size_t node) const {
     return nodes_[node]->state();
@@ -57,6 +59,8 @@
   FakeObjectStore store{io};
 
  private:
+  // Sends `node` a heartbeat of a peer that does not exist.
+  void Tell(size_t node, PeerHeartbeat heartbeat);
   // Whether only the nodes follow the store that have to.
   bool RolesAreSettled() const;
   // Settings of the node with this number.
--- a/tests/qh_gateway/server_limit_test.cpp
+++ b/tests/qh_gateway/server_limit_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "tests/qh_gateway/deployment_fixture.h"
 #include "tests/qh_gateway/gateway_fixture.h"
 
 namespace qh {
@@ -144,4 +145,37 @@
   CHECK(limit->rate == 3.0);
 }
 
+// Guards against limits that only the node knows that was told.
+TEST_CASE("all nodes learn of a server's limit, and of its end") {
+  // The larger deployment has relays, and nodes that don't follow the store.
+  const size_t nodes = GENERATE(3, 18);
+  CAPTURE(nodes);
+  DeploymentFixture deployment;
+  deployment.StartNodes(nodes, 3, 1);
+  const auto each_counts_all = [&] {
+    return deployment.AllOf([&](size_t node) {
+      return deployment.StateOf(node).budget_nodes() == nodes;
+    });
+  };
+  CHECK(deployment.TimeUntil(each_counts_all, seconds(3)));
+  const ServerProcess process{ServerId("s0"), 1};
+  const auto all_know = [&](std::optional<double> rate) {
+    return deployment.AllOf([&](size_t node) {
+      const auto limit = deployment.StateOf(node).picker.rate_limits().Find(
+          process.id, MonotonicNow());
+      return rate ? limit && limit->rate == rate : !limit;
+    });
+  };
+  deployment.TellRateLimit(nodes - 1,
+                           {.process = process, .version = 1, .rate = 2.0});
+  CHECK(deployment.TimeUntil([&] { return all_know(2.0); }, seconds(2)));
+  deployment.TellRateLimit(0, {.process = process, .version = 2});
+  CHECK(
+      deployment.TimeUntil([&] { return all_know(std::nullopt); }, seconds(2)));
+  // The older word comes once more.
+  deployment.TellRateLimit(1, {.process = process, .version = 1, .rate = 2.0});
+  deployment.TimeUntil([] { return false; }, milliseconds(400));
+  CHECK(all_know(std::nullopt));
+}
+
 }  // namespace qh
--- a/tests/qh_gateway/server_rate_limits_test.cpp
+++ b/tests/qh_gateway/server_rate_limits_test.cpp
@@ -301,4 +301,14 @@
   CHECK_FALSE(urgency.TimeToYield("s", 2, kStart + ServerUrgency::kYieldTime));
 }
 
+TEST_CASE("limits withhold the capacity that they don't grant") {
+  ServerRateLimits node;
+  node.OnAnswer({ServerId("a"), 1}, 1.0, kStart);
+  node.OnAnswer({ServerId("b"), 1}, 9.0, kStart);
+  const std::vector<ServerId> servers{ServerId("a"), ServerId("b"),
+                                      ServerId("c")};
+  CHECK(node.WithheldServers(servers, 4.0) == 0.75);
+  CHECK(node.WithheldServers(servers, 0.0) == 0.0);
+}
+
 }  // namespace qh
