A call to a peer that is posted as its connection ends gets an answer

Cause: Http2Connection::Run dropped the tasks that were posted and not yet run when the connection closed. Such a task held the only promise of a call, whose caller then got an exception that nobody catches.

Change: the tasks left run before on_closed_, which ends their calls. No run shows the failure at will, before or after.

--- a/modules/qh_peer/http2_connection.cpp
+++ b/modules/qh_peer/http2_connection.cpp
@@ -79,10 +79,16 @@
       break;
     }
   }
+  std::vector<Task> unrun;
   {
     const std::lock_guard lock(mutex_);
     closed_ = true;
-    tasks_.clear();
+    unrun.swap(tasks_);
+  }
+  // Every posted task runs, so that on_closed_ ends also the calls that were
+  // posted last.
+  for (const Task& task : unrun) {
+    task(session_);
   }
   shutdown(socket_, SHUT_RDWR);
   on_closed_();
