A new process of a server is not kept to the limit of the one before

A node that heard a new process name no limit forgot the server; a peer that had not heard of the process then brought the old limit back.

Change: the first answer of a new process is told to the peers also if it names no limit, and a server that the store lists as restarted ends the limit at once.

--- a/modules/qh_gateway/decisions/server_rate_limits.cpp
+++ b/modules/qh_gateway/decisions/server_rate_limits.cpp
@@ -140,15 +140,12 @@
   if (process.started_ms > entry.started_ms) {
     entry = {.started_ms = process.started_ms};
   }
+  // The first answer of a new process is told also if it names no limit, so
+  // that the limit of the process before ends at the peers.
   if (entry.version > 0 && entry.rate == rate) {
     entry.confirmed = now;
     return false;
   }
-  if (entry.version == 0 && !rate) {
-    // Nobody needs to know that a new process names no limit.
-    servers_.erase(process.id);
-    return false;
-  }
   if (entry.rate) {
     Fill(process.id, entry, now);
   }
@@ -156,6 +153,14 @@
   return true;
 }
 
+void ServerRateLimits::OnStarted(const ServerProcess& process, TimePoint now) {
+  const auto known = servers_.find(process.id);
+  if (known != servers_.end() &&
+      process.started_ms > known->second.started_ms) {
+    OnAnswer(process, std::nullopt, now);
+  }
+}
+
 std::vector<ServerRateLimit> ServerRateLimits::OnPeer(
     const std::vector<ServerRateLimit>& reported,
     TimePoint now) {
--- a/modules/qh_gateway/decisions/server_rate_limits.h
+++ b/modules/qh_gateway/decisions/server_rate_limits.h
@@ -86,6 +86,8 @@
   bool OnAnswer(const ServerProcess& process,
                 std::optional<double> rate,
                 TimePoint now);
+  // The server's id now belongs to this process, which has named no limit yet.
+  void OnStarted(const ServerProcess& process, TimePoint now);
   // A peer reports what it knows. Returns the limits that this changed.
   std::vector<ServerRateLimit> OnPeer(
       const std::vector<ServerRateLimit>& reported,
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -174,6 +174,10 @@
   if (change == ServerChange::kGone || change == ServerChange::kRestarted) {
     picker.ResetServer(server.id);
   }
+  if (change == ServerChange::kRestarted) {
+    picker.rate_limits().OnStarted({server.id, server.started_ms},
+                                   MonotonicNow());
+  }
   if (change == ServerChange::kDraining && (server.leaves_in || server.spot)) {
     // A server that does not announce its end serves for the drain time at
     // least.
--- a/tests/qh_gateway/server_rate_limits_test.cpp
+++ b/tests/qh_gateway/server_rate_limits_test.cpp
@@ -221,6 +221,14 @@
   const ServerProcess next{kServer, kProcess.started_ms + 1};
   node.OnAnswer(next, std::nullopt, kStart);
   CHECK_FALSE(node.IsLimited(kServer));
+  // The peers are told, and one that has not heard of the new process doesn't
+  // undo it.
+  ServerRateLimits peer;
+  peer.OnPeer(older, kStart);
+  Tell(node, peer, kStart);
+  CHECK_FALSE(peer.IsLimited(kServer));
+  node.OnPeer(older, kStart);
+  CHECK_FALSE(node.IsLimited(kServer));
   node.OnAnswer(next, 4.0, kStart);
   node.OnPeer(older, kStart);
   CHECK(RateAt(node, kStart) == 4.0);
@@ -228,6 +236,15 @@
   CHECK(RateAt(node, kStart) == 4.0);
 }
 
+TEST_CASE("a server that starts again is not kept to the limit before") {
+  ServerRateLimits node;
+  node.OnAnswer(kProcess, 2.0, kStart);
+  node.OnStarted(kProcess, kStart);
+  CHECK(RateAt(node, kStart) == 2.0);
+  node.OnStarted({kServer, kProcess.started_ms + 1}, kStart);
+  CHECK_FALSE(node.IsLimited(kServer));
+}
+
 TEST_CASE("a limit of zero is tried seldom, and its end is heard") {
   LimitedTraffic traffic(5, 0.0);
   traffic.Run(seconds(60), milliseconds(50), milliseconds(50));
