--- a/modules/qh_gateway/decisions/deployment_size.h
+++ b/modules/qh_gateway/decisions/deployment_size.h
@@ -20,7 +20,8 @@
   static constexpr Duration kQuietTime = std::chrono::seconds(1);
   // A node that hears no peer waits this long after the first list.
   static constexpr Duration kAloneAfter = std::chrono::seconds(5);
-  // Nodes assumed until then: no deployment has more.
+  // Nodes assumed until then, more than a deployment has, so that the shares of
+  // all nodes together stay within a limit.
   static constexpr size_t kAssumedNodes = 1'200;
 
   // A node was listed for the first time.
--- a/modules/qh_gateway/decisions/server_picker.h
+++ b/modules/qh_gateway/decisions/server_picker.h
@@ -168,7 +168,8 @@
   Error WaitError(const PickQuery& query,
                   const std::string& reason,
                   Duration wait);
-  // Returns what the servers' limits are that a request is refused for.
+  // Returns the reason of a refusal for want of a permit, with the limit of
+  // `limited` and its age.
   std::string DescribeLimit(const ServerId& limited, TimePoint now) const;
   // Reduces more than kMaxCompared servers to those to compare. `home_key`
   // identifies the prompt's home servers; nullopt for a request without prompt.
