A parser holds a bounded part of a message that isn't complete

Cause: Beast takes nothing of a chunk's size line, or of the part after the last chunk, before it is complete, and bounds only heads and bodies. HttpParser kept what was not taken, for answers and requests alike. Held for all users of the parser: servers, callers, the store, the cloud, peers, migration calls.

HttpParser now bounds what is neither head nor body of a message, by the limit on heads plus 16 bytes for each byte of the body, and holds nothing after a failure. The error says how many bytes came and how many are allowed. Extensions at every chunk, which Beast takes one by one, count too. With the bound, scanning what is pending anew with each read costs at most a few times that bound. A server's interim answers and answers to other requests are skipped up to 4 MB for one request. What was written of a request is not kept while its connection rests.

--- a/modules/qh_gateway/forwarding/server_connection.cpp
+++ b/modules/qh_gateway/forwarding/server_connection.cpp
@@ -8,6 +8,9 @@
 constexpr ParserLimits kAnswerLimits = {.header_bytes = 32U << 10U,
                                         .body_bytes = 256U << 20U};
 constexpr int kFirstFinalStatus = 200;
+// Most bytes of interim answers and of answers to earlier requests that are
+// skipped for one request.
+constexpr size_t kMaxSkippedBytes = size_t{4} << 20U;
 
 }  // namespace
 
@@ -77,6 +80,7 @@
   request_id_ = std::move(request_id);
   listener_ = std::move(listener);
   skipping_answer_ = false;
+  bytes_before_answer_ = 0;
   head_delivered_ = false;
   request_written_ = false;
   read_paused_ = false;
@@ -93,6 +97,8 @@
           return;
         }
         self->request_written_ = true;
+        // The connection may rest for long.
+        self->write_buffer_ = {};
       });
   Read();
 }
@@ -140,11 +146,25 @@
     return;
   }
   const auto self = shared_from_this();
-  if (ProcessInput()) {
+  if (ProcessInput() && CheckSkippedBytes(size)) {
     Read();
   }
 }
 
+bool ServerConnection::CheckSkippedBytes(size_t size) {
+  if (state_ != State::kBusy || head_delivered_) {
+    return true;
+  }
+  bytes_before_answer_ += size;
+  if (bytes_before_answer_ <= kMaxSkippedBytes) {
+    return true;
+  }
+  CompleteRequest(Error(ErrorKind::kMalformedAnswer,
+                        std::to_string(bytes_before_answer_) +
+                            " bytes that don't answer the request"));
+  return false;
+}
+
 bool ServerConnection::ProcessInput() {
   while (state_ == State::kBusy && parser_.head_done()) {
     if (!head_delivered_ && !skipping_answer_ && !OnHead()) {
--- a/modules/qh_gateway/forwarding/server_connection.h
+++ b/modules/qh_gateway/forwarding/server_connection.h
@@ -84,6 +84,9 @@
                    ServerId server);
   void Read();
   void OnBytes(size_t size);
+  // Fails the request if too much came that doesn't answer it. Returns false if
+  // it did.
+  bool CheckSkippedBytes(size_t size);
   // Delivers what the parser holds to the listener. Returns false if the
   // connection was closed.
   bool ProcessInput();
@@ -107,6 +110,8 @@
   // The message being parsed is an interim answer (1xx) or answers an earlier
   // request; it is discarded.
   bool skipping_answer_ = false;
+  // Bytes received for the current request before its answer began.
+  size_t bytes_before_answer_ = 0;
   // The server has sent the head of a final answer on this connection.
   bool answered_before_ = false;
   // on_head was called for the current request.
--- a/modules/qh_net/http_parser.cpp
+++ b/modules/qh_net/http_parser.cpp
@@ -21,6 +21,8 @@
  public:
   HttpHead head;
   std::string body;
+  // Size of the body so far, also of the part that was taken.
+  uint64_t body_bytes = 0;
 
  private:
   void on_request_impl(http::verb /*method*/,
@@ -52,6 +54,7 @@
   std::size_t on_body_impl(beast::string_view text,
                            BeastError& /*error*/) override {
     body.append(text.data(), text.size());
+    body_bytes += text.size();
     return text.size();
   }
   void on_chunk_header_impl(std::uint64_t /*size*/,
@@ -61,6 +64,7 @@
                                  beast::string_view text,
                                  BeastError& /*error*/) override {
     body.append(text.data(), text.size());
+    body_bytes += text.size();
     return text.size();
   }
   void on_finish_impl(BeastError& /*error*/) override {}
@@ -99,6 +103,8 @@
   std::optional<Collector<false>> answer;
   // Bytes not yet parsed.
   std::string pending;
+  // Bytes of the current message that were parsed.
+  uint64_t parsed_bytes = 0;
   // Whether a byte of the current message was parsed.
   bool started = false;
   // Whether the body framing was checked.
@@ -107,6 +113,7 @@
   bool ended = false;
 
   void Begin() {
+    parsed_bytes = 0;
     started = false;
     checked = false;
     ended = false;
@@ -128,10 +135,48 @@
   }
   template <typename Parser>
   Result<void> Parse(Parser& parser);
+  // Parses pending bytes and keeps those that Beast can't use yet.
+  template <typename Parser>
+  Result<void> ParsePending(Parser& parser);
+  // Beast bounds the head and the body, but not what frames the body.
+  template <typename Parser>
+  Result<void> CheckFraming(const Parser& parser) const;
 };
 
 template <typename Parser>
 Result<void> HttpParser::Impl::Parse(Parser& parser) {
+  Result<void> parsed = ParsePending(parser);
+  if (parsed) {
+    parsed = CheckFraming(parser);
+  }
+  if (!parsed) {
+    pending.clear();
+    pending.shrink_to_fit();
+    parser.body.clear();
+    parser.body.shrink_to_fit();
+  }
+  return parsed;
+}
+
+template <typename Parser>
+Result<void> HttpParser::Impl::CheckFraming(const Parser& parser) const {
+  // Bytes after a complete message belong to the next one.
+  const uint64_t received =
+      parsed_bytes + (parser.is_done() ? 0 : pending.size());
+  const uint64_t besides_body = received - parser.body_bytes;
+  const uint64_t allowed = 2 * uint64_t{limits.header_bytes} +
+                           kMaxFramingPerBodyByte * parser.body_bytes;
+  if (besides_body <= allowed) {
+    return Ok();
+  }
+  return Error(ErrorKind::kMalformedRequest,
+               "framing without end: " + std::to_string(besides_body) +
+                   " bytes besides " + std::to_string(parser.body_bytes) +
+                   " of body, " + std::to_string(allowed) + " allowed");
+}
+
+template <typename Parser>
+Result<void> HttpParser::Impl::ParsePending(Parser& parser) {
   size_t used = 0;
   while (!parser.is_done() && used < pending.size()) {
     BeastError error;
@@ -154,6 +199,7 @@
     }
   }
   pending.erase(0, used);
+  parsed_bytes += used;
   return Ok();
 }
 
@@ -233,6 +279,11 @@
          impl_->Visit([](auto& parser) { return parser.keep_alive(); });
 }
 
+size_t HttpParser::held_bytes() const {
+  return impl_->pending.size() +
+         impl_->Visit([](auto& parser) { return parser.body.size(); });
+}
+
 std::string HttpParser::TakeBody() {
   return impl_->Visit(
       [](auto& parser) { return std::exchange(parser.body, {}); });
--- a/modules/qh_net/http_parser.h
+++ b/modules/qh_net/http_parser.h
@@ -1,5 +1,9 @@
 // Incremental parser for the HTTP/1.1 messages of one connection. Bytes after
 // the end of a message stay buffered and belong to the next message.
+//
+// All that a parser holds of a message that isn't complete is bounded: its
+// head, its body, and what frames the body (size lines of chunks with their
+// extensions, and trailers).
 
 #ifndef QH_NET_HTTP_PARSER_H_
 #define QH_NET_HTTP_PARSER_H_
@@ -17,12 +21,18 @@
 
 // Largest sizes accepted, in bytes.
 struct ParserLimits {
+  // For the head, and once more for what frames the body, which may grow beyond
+  // that with the body; see HttpParser::kMaxFramingPerBodyByte.
   uint32_t header_bytes = 16U << 10U;
   uint64_t body_bytes = 4U << 20U;
 };
 
 class HttpParser {
  public:
+  // Bytes of framing accepted for each byte of a body. Chunks of a single byte
+  // need five.
+  static constexpr uint64_t kMaxFramingPerBodyByte = 16;
+
   HttpParser(MessageKind kind, const ParserLimits& limits);
   ~HttpParser();
   HttpParser(HttpParser&&) noexcept;
@@ -33,7 +43,8 @@
 
   // Parses bytes received from the connection, up to the end of the current
   // message. Fails with kHeadersTooLarge, kBodyTooLarge or kMalformedRequest;
-  // after a failure the connection can't be used any more.
+  // after a failure the connection can't be used any more, and the parser holds
+  // nothing.
   Result<void> Feed(std::string_view bytes);
 
   // Signals that the peer has closed its side of the connection. Fails with
@@ -53,6 +64,9 @@
   // Whether the connection can be used for another message after this one.
   bool keep_alive() const;
 
+  // Bytes held: those not parsed yet, and the body up to TakeBody.
+  size_t held_bytes() const;
+
   // Returns the part of the body read since the last call.
   std::string TakeBody();
 
--- a/tests/qh_net/http_parser_test.cpp
+++ b/tests/qh_net/http_parser_test.cpp
@@ -4,6 +4,7 @@
 #include "qh_net/http_parser.h"
 
 #include <catch2/catch.hpp>
+#include <vector>
 
 namespace qh {
 namespace {
@@ -12,6 +13,26 @@
   return {MessageKind::kRequest, limits};
 }
 
+// Ways to frame a body with bytes that never end.
+struct EndlessFraming {
+  const char* name;
+  std::string begin;
+  // Comes again and again.
+  std::string more;
+};
+
+std::vector<EndlessFraming> EndlessFramings() {
+  const std::string many(1'000, 'x');
+  return {{"a size line without an end", "", many},
+          {"one endless extension", "5;a=", many},
+          {"many extensions", "5", ";a=b;c=d"},
+          {"zeros before the size", "", std::string(1'000, '0')},
+          {"one trailer", "0\r\nA: ", many},
+          {"many trailers", "0\r\n", "A: b\r\n"},
+          {"an extension at every chunk", "",
+           "1;a=" + std::string(60, 'x') + "\r\ny\r\n"}};
+}
+
 constexpr std::string_view kPost =
     "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
 
@@ -72,6 +93,47 @@
   CHECK(body.error().kind() == ErrorKind::kBodyTooLarge);
 }
 
+// Guards against a peer that uses up the process's memory, or the time of its
+// loop: such bytes were kept without a limit.
+TEST_CASE("bytes that frame a body without end are refused") {
+  const auto endless = GENERATE(from_range(EndlessFramings()));
+  const MessageKind kind =
+      GENERATE(MessageKind::kRequest, MessageKind::kAnswer);
+  CAPTURE(endless.name);
+  constexpr size_t kHeaderBytes = 4'096;
+  HttpParser parser(kind, {.header_bytes = kHeaderBytes});
+  REQUIRE(parser.Feed(kind == MessageKind::kRequest
+                          ? "POST / HTTP/1.1\r\nTransfer-Encoding: "
+                            "chunked\r\n\r\n5\r\nhello\r\n"
+                          : "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                            "chunked\r\n\r\n5\r\nhello\r\n"));
+  parser.TakeBody();
+  Result<void> fed = parser.Feed(endless.begin);
+  size_t bytes = 0;
+  while (fed && bytes < 100 * kHeaderBytes) {
+    fed = parser.Feed(endless.more);
+    bytes += endless.more.size();
+    CHECK(parser.held_bytes() < 3 * kHeaderBytes);
+  }
+  REQUIRE_FALSE(fed);
+  CHECK(fed.error().kind() == ErrorKind::kMalformedRequest);
+  CHECK(fed.error().detail().find("framing without end") != std::string::npos);
+  CHECK(parser.held_bytes() == 0);
+}
+
+TEST_CASE("a body in small chunks with extensions and trailers is accepted") {
+  const auto chunk =
+      GENERATE(as<std::string>(), "1\r\nx\r\n", "0001;a=b\r\nx\r\n");
+  HttpParser parser = RequestParser();
+  REQUIRE(parser.Feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"));
+  for (int i = 0; i < 100'000; ++i) {
+    REQUIRE(parser.Feed(chunk));
+  }
+  REQUIRE(parser.Feed("0\r\nA: b\r\nC: d\r\n\r\nGET / HTTP/1.1\r\n"));
+  CHECK(parser.done());
+  CHECK(parser.TakeBody().size() == 100'000);
+}
+
 TEST_CASE("an answer without a length ends when the connection closes") {
   HttpParser parser(MessageKind::kAnswer, {});
   REQUIRE(parser.Feed("HTTP/1.1 200 OK\r\n\r\nabc"));
