All messages in progress together have a bound on their bytes

What a node holds per message adds up: 4 MB an answer or an event, up to 4 MB a request body, 256 KB unsent a caller, 16 MB a reply of the store or of a peer, on thousands of connections, beside 390 MB on the smallest machine.

ByteBudget counts what parsers, exchanges, callers' output, control clients and control services hold, to half of the process's memory (new setting memory_mb). Large messages are refused first (over half of the budget), small ones at three quarters, control calls last; a request is refused with 503 before it is sent, an answer fails its attempt without blame for the server. While the budget is tight, a server is read only up to 16 KB ahead of its caller. The reply to a migration call is bounded to 64 KB, bodies to the control services to 64 KB. Metrics: gateway_held_bytes, gateway_held_bytes_limit, gateway_held_bytes_refusals, gateway_malformed_answers_total. A refused request's line says from whom.

--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -68,12 +68,13 @@
       register_connection_(io,
                            settings.store_address,
                            codec.store,
-                           state_.store_epoch),
+                           state_.store_epoch,
+                           state_.byte_budget),
       signals_(io, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(io),
       register_timer_(io),
       accept_timer_(io),
-      fetcher_(io, state_.log) {
+      fetcher_(io, state_.log, state_.byte_budget) {
   state_.on_store_epoch = [this](uint64_t epoch, bool restored) {
     OnStoreEpoch(epoch, restored);
   };
@@ -85,28 +86,29 @@
   const GatewaySettings& settings = state_.settings;
   BOOST_OUTCOME_TRY(callers, Listen(io_, settings.caller_address));
   caller_acceptor_ = std::move(callers);
-  BOOST_OUTCOME_TRY(readiness,
-                    HttpService::Start(io_, settings.readiness_address,
-                                       [this](const HttpHead& head) {
-                                         return AnswerReady(head);
-                                       }));
+  const auto serve = [&](const Address& address, HttpService::Hook answer) {
+    return HttpService::Start(io_, address, std::move(answer),
+                              state_.byte_budget);
+  };
+  BOOST_OUTCOME_TRY(readiness, serve(settings.readiness_address,
+                                     [this](const HttpHead& head) {
+                                       return AnswerReady(head);
+                                     }));
   readiness_service_ = readiness;
-  BOOST_OUTCOME_TRY(locate, HttpService::Start(io_, settings.locate_address,
-                                               [this](const HttpHead& head) {
-                                                 return AnswerLocate(head);
-                                               }));
+  BOOST_OUTCOME_TRY(
+      locate, serve(settings.locate_address, [this](const HttpHead& head) {
+        return AnswerLocate(head);
+      }));
   locate_service_ = locate;
-  BOOST_OUTCOME_TRY(peers, HttpService::Start(io_, settings.peer_address,
-                                              [this](const HttpHead& head) {
-                                                return AnswerPeer(head);
-                                              }));
+  BOOST_OUTCOME_TRY(
+      peers, serve(settings.peer_address,
+                   [this](const HttpHead& head) { return AnswerPeer(head); }));
   peer_service_ = peers;
   if (settings.metrics_address) {
-    BOOST_OUTCOME_TRY(metrics,
-                      HttpService::Start(io_, *settings.metrics_address,
-                                         [this](const HttpHead& head) {
-                                           return AnswerMetrics(head);
-                                         }));
+    BOOST_OUTCOME_TRY(
+        metrics, serve(*settings.metrics_address, [this](const HttpHead& head) {
+          return AnswerMetrics(head);
+        }));
     metrics_service_ = metrics;
   }
   return peers_.Open(settings.peer_address);
@@ -351,6 +353,13 @@
   }
   state_.metrics.Set({.name = "gateway_open_requests"},
                      static_cast<double>(state_.open_requests));
+  const ByteBudget& budget = *state_.byte_budget;
+  state_.metrics.Set({.name = "gateway_held_bytes"},
+                     static_cast<double>(budget.held()));
+  state_.metrics.Set({.name = "gateway_held_bytes_limit"},
+                     static_cast<double>(budget.limit()));
+  state_.metrics.Set({.name = "gateway_held_bytes_refusals"},
+                     static_cast<double>(budget.refusals()));
   state_.metrics.Set(
       {.name = "gateway_server_connections"},
       static_cast<double>(state_.connection_pool.open_connections()));
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -56,9 +56,9 @@
   };
   hooks.watch_wait = [this] { return WatchWait(); };
   hooks.batch_delay = [this] { return WatchBatchDelay(); };
-  return std::make_unique<StoreWatcher>(io_, state_.settings.store_address,
-                                        codec_.store, state_.store_epoch, kind,
-                                        state_.rng.Next(), std::move(hooks));
+  return std::make_unique<StoreWatcher>(
+      io_, state_.settings.store_address, codec_.store, state_.store_epoch,
+      kind, state_.rng.Next(), std::move(hooks), state_.byte_budget);
 }
 
 // With more nodes each call waits longer, so that the calls of all nodes stay
--- a/modules/qh_gateway/control/gateway_settings.h
+++ b/modules/qh_gateway/control/gateway_settings.h
@@ -41,6 +41,9 @@
   // rather than others.
   double link_mbps = 0;
 
+  // Memory that the process may use, in megabytes.
+  double memory_mb = 512;
+
   // Whether the whole deployment starts for the first time, so that no other
   // node can hold a lease.
   bool first_start = false;
--- a/modules/qh_gateway/control/leader_tasks.cpp
+++ b/modules/qh_gateway/control/leader_tasks.cpp
@@ -83,13 +83,15 @@
       store_(state.io,
              state.settings.store_address,
              state.codec.store,
-             state.store_epoch),
+             state.store_epoch,
+             state.byte_budget),
       capacity_planner_(CapacityPlanner::Settings{}) {
   if (!state.settings.first_start) {
     lease_.BarClaims(BootNow() + lease_.settings().duration);
   }
   if (state_.settings.cloud_address) {
-    cloud_ = HttpClient::Create(state_.io, *state_.settings.cloud_address);
+    cloud_ = HttpClient::Create(state_.io, *state_.settings.cloud_address,
+                                state_.byte_budget);
   }
 }
 
--- a/modules/qh_gateway/control/peer_state_fetcher.cpp
+++ b/modules/qh_gateway/control/peer_state_fetcher.cpp
@@ -39,8 +39,10 @@
                                                            : StoreVersion();
 }
 
-PeerStateFetcher::PeerStateFetcher(boost::asio::io_context& io, EventLog& log)
-    : io_(io), log_(log) {}
+PeerStateFetcher::PeerStateFetcher(boost::asio::io_context& io,
+                                   EventLog& log,
+                                   std::shared_ptr<ByteBudget> budget)
+    : io_(io), log_(log), budget_(std::move(budget)) {}
 
 PeerStateFetcher::~PeerStateFetcher() {
   for (const Call& call : calls_) {
@@ -74,7 +76,7 @@
   }
   const Address& peer = Choose(peers, MonotonicNow());
   if (call.client == nullptr || call.peer != peer) {
-    call.client = HttpClient::Create(io_, peer);
+    call.client = HttpClient::Create(io_, peer, budget_);
     call.peer = peer;
   }
   call.open = true;
--- a/modules/qh_gateway/control/peer_state_fetcher.h
+++ b/modules/qh_gateway/control/peer_state_fetcher.h
@@ -57,8 +57,11 @@
   // node has. If not, the peer counts as of no use.
   using OnBody = std::function<bool(const std::string& body)>;
 
-  // `log` has to outlive the fetcher.
-  PeerStateFetcher(boost::asio::io_context& io, EventLog& log);
+  // `log` has to outlive the fetcher. Answers are counted in `budget`, see
+  // HttpClient::Create.
+  PeerStateFetcher(boost::asio::io_context& io,
+                   EventLog& log,
+                   std::shared_ptr<ByteBudget> budget = nullptr);
   ~PeerStateFetcher();
   PeerStateFetcher(const PeerStateFetcher&) = delete;
   PeerStateFetcher& operator=(const PeerStateFetcher&) = delete;
@@ -89,6 +92,7 @@
 
   boost::asio::io_context& io_;
   EventLog& log_;
+  std::shared_ptr<ByteBudget> budget_;
   // By PeerState.
   std::array<Call, std::size(kEnumNames<PeerState>)> calls_;
   // When each peer was last of no use.
--- a/modules/qh_gateway/control/store_connection.cpp
+++ b/modules/qh_gateway/control/store_connection.cpp
@@ -7,8 +7,9 @@
 StoreConnection::StoreConnection(boost::asio::io_context& io,
                                  const Address& store,
                                  const StoreProtocol& protocol,
-                                 StoreEpoch& epoch)
-    : client_(HttpClient::Create(io, store)),
+                                 StoreEpoch& epoch,
+                                 std::shared_ptr<ByteBudget> budget)
+    : client_(HttpClient::Create(io, store, std::move(budget))),
       protocol_(protocol),
       epoch_(epoch) {}
 
--- a/modules/qh_gateway/control/store_connection.h
+++ b/modules/qh_gateway/control/store_connection.h
@@ -19,11 +19,13 @@
 // the answer is then dropped like all other pending ones.
 class StoreConnection {
  public:
-  // `protocol` and `epoch` have to outlive the connection.
+  // `protocol` and `epoch` have to outlive the connection. Answers are counted
+  // in `budget`, see HttpClient::Create.
   StoreConnection(boost::asio::io_context& io,
                   const Address& store,
                   const StoreProtocol& protocol,
-                  StoreEpoch& epoch);
+                  StoreEpoch& epoch,
+                  std::shared_ptr<ByteBudget> budget = nullptr);
   ~StoreConnection();
   StoreConnection(const StoreConnection&) = delete;
   StoreConnection& operator=(const StoreConnection&) = delete;
--- a/modules/qh_gateway/control/store_watcher.h
+++ b/modules/qh_gateway/control/store_watcher.h
@@ -73,14 +73,16 @@
   };
 
   // Watches `kind` in the store at `store`. `protocol` and `epoch` have to
-  // outlive the watcher; `seed` feeds the jitter of retries.
+  // outlive the watcher; `seed` feeds the jitter of retries. Answers are
+  // counted in `budget`, see HttpClient::Create.
   StoreWatcher(boost::asio::io_context& io,
                const Address& store,
                const StoreProtocol& protocol,
                StoreEpoch& epoch,
                std::string kind,
                uint64_t seed,
-               Hooks hooks);
+               Hooks hooks,
+               const std::shared_ptr<ByteBudget>& budget = nullptr);
 
   // Requests the list, at first or after Stop.
   void Start();
--- a/modules/qh_gateway/control/verdict_archive.cpp
+++ b/modules/qh_gateway/control/verdict_archive.cpp
@@ -39,7 +39,8 @@
       connection_(state.io,
                   state.settings.store_address,
                   state.codec.store,
-                  state.store_epoch) {}
+                  state.store_epoch,
+                  state.byte_budget) {}
 
 void VerdictArchive::OnList(const std::vector<StoredObject>& objects) {
   stored_.OnListBegins();
--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -26,7 +26,9 @@
     : state_(state),
       socket_(std::move(socket)),
       timer_(state.io),
-      parser_(MessageKind::kRequest, RequestLimits()) {}
+      parser_(MessageKind::kRequest, RequestLimits()),
+      input_held_(state.byte_budget, HoldPurpose::kTraffic),
+      output_held_(state.byte_budget, HoldPurpose::kTraffic) {}
 
 CallerLimits CallerConnection::Limits() const {
   return state_.config == nullptr ? CallerLimits() : state_.config->limits();
@@ -119,6 +121,17 @@
     RejectRequest(fed.error());
     return;
   }
+  if (!input_held_.TrySet(parser_.held_bytes())) {
+    // Read-ahead is bounded, and has no answer yet.
+    if (exchange_ == nullptr) {
+      RejectRequest(
+          Error(ErrorKind::kOverloaded,
+                "the node holds too much already to take a request of " +
+                    std::to_string(parser_.held_bytes()) + " bytes"));
+      return;
+    }
+    input_held_.Set(parser_.held_bytes());
+  }
   if (is_first_read || had_head != parser_.head_done()) {
     ArmReadTimer();
   }
@@ -142,6 +155,7 @@
     return;
   }
   request.value().body = parser_.TakeBody();
+  input_held_.Set(parser_.held_bytes());
   if (auto& deadline = request.value().deadline) {
     // The caller's wait began when it sent the request.
     *deadline -= MonotonicNow() - request_began_at_;
@@ -183,12 +197,18 @@
 }
 
 void CallerConnection::RejectRequest(const Error& error) {
-  state_.log.Write(LogLine(ToName(GatewayEvent::kRequestRefused))
-                       .With("status", AnswerFor(error.kind()).status)
-                       .With("reason", error.detail()),
-                   GatewayEvent::kRequestRefused);
+  boost::system::error_code ignored;
+  state_.log.Write(
+      LogLine(ToName(GatewayEvent::kRequestRefused))
+          .With("from", socket_.remote_endpoint(ignored).address().to_string())
+          .With("status", AnswerFor(error.kind()).status)
+          .With("reason", error.detail()),
+      GatewayEvent::kRequestRefused);
   rejected_ = true;
   keep_alive_ = false;
+  // Nothing of it is used any more.
+  parser_ = HttpParser(MessageKind::kRequest, RequestLimits());
+  input_held_.Set(0);
   Write(SerializeErrorAnswer(error, {}, std::nullopt), true);
 }
 
@@ -267,15 +287,21 @@
   } else {
     pending_output_ += bytes;
   }
+  output_held_.Set(pending_output_.size() + write_buffer_.size());
   answer_complete_ = answer_complete_ || last;
   ScheduleFlush();
-  if (!backpressure_ && pending_output_.size() > kMaxUnsentBytes &&
+  if (!backpressure_ && pending_output_.size() > MaxUnsentBytes() &&
       exchange_ != nullptr) {
     backpressure_ = true;
     exchange_->SetBackpressure(true);
   }
 }
 
+size_t CallerConnection::MaxUnsentBytes() const {
+  return state_.byte_budget->is_tight() ? kMaxUnsentBytesWhenTight
+                                        : kMaxUnsentBytes;
+}
+
 // Posts the flush, so that all bytes queued in one turn of the event loop go
 // out in one write.
 void CallerConnection::ScheduleFlush() {
@@ -317,7 +343,9 @@
 }
 
 void CallerConnection::OnWriteDone() {
-  if (backpressure_ && pending_output_.size() < kMaxUnsentBytes / 2 &&
+  write_buffer_ = {};
+  output_held_.Set(pending_output_.size());
+  if (backpressure_ && pending_output_.size() < MaxUnsentBytes() / 2 &&
       exchange_ != nullptr) {
     backpressure_ = false;
     exchange_->SetBackpressure(false);
@@ -344,6 +372,7 @@
     RejectRequest(next.error());
     return;
   }
+  input_held_.Set(parser_.held_bytes());
   SetUnfinished(parser_.started());
   ArmReadTimer();
   StartBufferedRequest();
--- a/modules/qh_gateway/forwarding/caller_connection.h
+++ b/modules/qh_gateway/forwarding/caller_connection.h
@@ -50,6 +50,8 @@
   // Pauses reading from the server when more bytes than this are unsent;
   // reading goes on once less than half of them are left.
   static constexpr size_t kMaxUnsentBytes = 256U << 10U;
+  // The same while ByteBudget is tight.
+  static constexpr size_t kMaxUnsentBytesWhenTight = 16U << 10U;
   // Stops reading when more bytes than this have arrived during an exchange.
   static constexpr size_t kMaxReadAheadBytes = 64U << 10U;
 
@@ -88,6 +90,7 @@
   // returns the idle time to announce if it does.
   std::optional<std::chrono::seconds> BeginAnswer();
 
+  size_t MaxUnsentBytes() const;
   // Queues bytes of the current answer; `last` ends the answer.
   void Write(std::string bytes, bool last);
   void ScheduleFlush();
@@ -105,6 +108,9 @@
   TcpSocket socket_;
   boost::asio::steady_timer timer_;
   HttpParser parser_;
+  // What the parser holds, and the bytes that are not written yet.
+  HeldBytes input_held_;
+  HeldBytes output_held_;
   std::shared_ptr<Exchange> exchange_;
   // Bytes of the write in progress, and those queued for the next one.
   std::string write_buffer_;
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -49,7 +49,10 @@
       deadline_timer_(state.io),
       stall_timer_(state.io),
       config_(state.config),
-      migration_timer_(state.io) {}
+      migration_timer_(state.io),
+      held_(state.byte_budget, HoldPurpose::kTraffic) {
+  held_.Set(held_size());
+}
 
 Duration Exchange::TimeLeft(TimePoint now) const {
   return deadline_ - now;
@@ -130,7 +133,8 @@
 void Exchange::OnHead(const HttpHead& head, const AnswerTraits& traits) {
   answer_head_ = head;
   has_answer_head_ = true;
-  buffered_body_.clear();
+  buffered_body_ = {};
+  held_.Set(held_size());
   if (!traits.wrong_server) {
     state_.OnServerAnswer(process_, traits);
   }
@@ -186,16 +190,7 @@
   }
   const std::string events =
       streaming_answer() ? event_splitter_.Feed(bytes) : std::string();
-  if (buffered_body_.size() > kMaxHeldBytes ||
-      event_splitter_.partial_size() > kMaxHeldBytes) {
-    connection_->Close();
-    buffered_body_.clear();
-    OnAttemptFailed(AttemptOutcome::kBroken,
-                    "the server sends without end: no complete answer within " +
-                        std::to_string(kMaxHeldBytes) + " bytes");
-    return;
-  }
-  if (events.empty()) {
+  if (!CheckHeldBytes() || events.empty()) {
     return;
   }
   RecordFirstByte();
@@ -207,6 +202,33 @@
   ArmStallTimer(kEventGapTimeoutFactor * route_->event_gap_target);
 }
 
+size_t Exchange::held_size() const {
+  return request_.body.size() + buffered_body_.size() +
+         event_splitter_.partial_size();
+}
+
+bool Exchange::CheckHeldBytes() {
+  const bool endless = buffered_body_.size() > kMaxHeldBytes ||
+                       event_splitter_.partial_size() > kMaxHeldBytes;
+  if (!endless && held_.TrySet(held_size())) {
+    return true;
+  }
+  const std::string size = std::to_string(held_size());
+  connection_->Close();
+  buffered_body_ = {};
+  if (endless) {
+    OnAttemptFailed(AttemptOutcome::kBroken,
+                    "the server sends without end: no complete answer within " +
+                        std::to_string(kMaxHeldBytes) + " bytes");
+  } else {
+    // The server is not at fault.
+    OnAttemptFailed(AttemptOutcome::kAbandoned,
+                    "the node holds too much already to take " + size +
+                        " bytes of this answer");
+  }
+  return false;
+}
+
 void Exchange::OnEnd(const Result<AnswerEnd>& result) {
   const bool complete = result && !event_splitter_.has_partial();
   if (destination_ && !complete) {
@@ -218,6 +240,10 @@
   }
   destination_.reset();
   if (!result) {
+    if (result.error().kind() == ErrorKind::kMalformedAnswer) {
+      state_.metrics.Count({.name = "gateway_malformed_answers_total",
+                            .request_class = route_->name});
+    }
     OnAttemptFailed(AttemptOutcome::kBroken, result.error().detail());
     return;
   }
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -108,6 +108,12 @@
   // Upper bound on the events that the stream still has to send.
   uint64_t MaxEventsLeft() const;
 
+  // Bytes of the request and its answer that the exchange holds.
+  size_t held_size() const;
+  // Counts what the exchange holds. Returns false, and ends the attempt, if
+  // that is too much.
+  bool CheckHeldBytes();
+
   // Callbacks of the server's connection.
   void OnHead(const HttpHead& head, const AnswerTraits& traits);
   void OnBody(const std::string& bytes);
@@ -232,6 +238,8 @@
   bool has_answer_head_ = false;
   std::string buffered_body_;
   EventSplitter event_splitter_;
+  // The request's body and what is held of the answer.
+  HeldBytes held_;
   // The head of the answer has been written to the caller.
   bool forwarding_ = false;
   bool finished_ = false;
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -109,6 +109,9 @@
   migration_timer_.cancel();
   destination_.reset();
   sink_ = {};
+  request_.body = {};
+  buffered_body_ = {};
+  held_.Set(0);
 }
 
 void Exchange::LogOutcome(GatewayEvent event,
--- a/modules/qh_gateway/forwarding/exchange_migration.cpp
+++ b/modules/qh_gateway/forwarding/exchange_migration.cpp
@@ -13,6 +13,8 @@
 
 // Timeout of the call that asks the source to copy the KV cache.
 constexpr auto kMigrationTimeout = std::chrono::milliseconds(800);
+// The answer to that call is a handle.
+constexpr ParserLimits kMigrationLimits = {.body_bytes = 64U << 10U};
 constexpr int kStatusOk = 200;
 
 }  // namespace
@@ -83,7 +85,8 @@
   destination_ = destination;
   migration_answered_ = false;
   source_ended_ = false;
-  const auto client = HttpClient::Create(state_.io, source->address);
+  const auto client = HttpClient::Create(state_.io, source->address,
+                                         state_.byte_budget, kMigrationLimits);
   client->Send(
       state_.codec.write_migration(request_.id, destination_server->address),
       kMigrationTimeout,
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -9,6 +9,11 @@
 // more covers the time until the node learns of it.
 constexpr int kHeartbeatsToExpiry = 4;
 
+// Share of the process's memory for messages in progress. The rest is for the
+// process itself and for what the system holds for its sockets.
+constexpr double kMessageMemoryShare = 0.5;
+constexpr double kBytesPerMegabyte = 1U << 20U;
+
 }  // namespace
 
 GatewayState::GatewayState(boost::asio::io_context& io_context,
@@ -22,6 +27,8 @@
       freshness(
           settings.node.value() + "/" + std::to_string(seed),
           {.config = settings.config_apply, .servers = settings.server_drain}),
+      byte_budget(std::make_shared<ByteBudget>(static_cast<uint64_t>(
+          kMessageMemoryShare * settings.memory_mb * kBytesPerMegabyte))),
       store_epoch([this](uint64_t epoch, bool restored) {
         if (on_store_epoch) {
           on_store_epoch(epoch, restored);
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -23,6 +23,7 @@
 #include "qh_gateway/forwarding/server_connection_pool.h"
 #include "qh_gateway/model/wire_codec.h"
 #include "qh_metrics/metrics_registry.h"
+#include "qh_net/byte_budget.h"
 
 namespace qh {
 
@@ -74,6 +75,9 @@
   // How current the configuration and the server list are.
   StateFreshness freshness;
 
+  // All that is held for messages in progress.
+  std::shared_ptr<ByteBudget> byte_budget;
+
   StoreEpoch store_epoch;
   // Called when the store's epoch becomes known or rises, and with whether the
   // store was restored from an older copy.
--- a/modules/qh_net/http_client.cpp
+++ b/modules/qh_net/http_client.cpp
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 
+#include "qh_core/log/log_line.h"
+
 namespace qh {
 namespace {
 
-constexpr ParserLimits kAnswerLimits = {.header_bytes = 32U << 10U,
-                                        .body_bytes = 16U << 20U};
-
 std::string Serialize(const HttpCall& call, const Address& address) {
   std::string text = call.method + " " + call.target + " HTTP/1.1\r\n";
   AppendField(text, "Host", address.ToString());
@@ -26,17 +25,26 @@
 
 }  // namespace
 
-std::shared_ptr<HttpClient> HttpClient::Create(boost::asio::io_context& io,
-                                               Address address) {
-  return std::shared_ptr<HttpClient>(new HttpClient(io, std::move(address)));
+std::shared_ptr<HttpClient> HttpClient::Create(
+    boost::asio::io_context& io,
+    Address address,
+    std::shared_ptr<ByteBudget> budget,
+    const ParserLimits& limits) {
+  return std::shared_ptr<HttpClient>(
+      new HttpClient(io, std::move(address), std::move(budget), limits));
 }
 
-HttpClient::HttpClient(boost::asio::io_context& io, Address address)
+HttpClient::HttpClient(boost::asio::io_context& io,
+                       Address address,
+                       std::shared_ptr<ByteBudget> budget,
+                       const ParserLimits& limits)
     : io_(io),
       address_(std::move(address)),
       socket_(io),
       timer_(io),
-      parser_(MessageKind::kAnswer, kAnswerLimits) {}
+      limits_(limits),
+      parser_(MessageKind::kAnswer, limits),
+      held_(std::move(budget), HoldPurpose::kControl) {}
 
 void HttpClient::Send(HttpCall call, Duration timeout, Hook on_reply) {
   queue_.push_back({std::move(call), timeout, std::move(on_reply)});
@@ -58,6 +66,8 @@
   boost::system::error_code ignored;
   socket_.close(ignored);
   socket_ = TcpSocket(io_);
+  parser_ = HttpParser(MessageKind::kAnswer, limits_);
+  held_.Set(0);
 }
 
 void HttpClient::StartNext() {
@@ -110,7 +120,6 @@
         }
         self->connected_ = true;
         TuneSocket(self->socket_);
-        self->parser_ = HttpParser(MessageKind::kAnswer, kAnswerLimits);
         self->ArmTimer(timeout);
         self->Write();
         self->Read();
@@ -150,16 +159,26 @@
 void HttpClient::OnBytes(size_t size) {
   const uint64_t connection = generation_;
   const bool expected = busy_ && sent_;
-  const auto parsed = parser_.Feed({in_.data(), size});
-  if (!expected || !parsed) {
+  if (!expected) {
     OnConnectionEnd();
     return;
   }
+  if (const auto parsed = parser_.Feed({in_.data(), size}); !parsed) {
+    RefuseAnswer(parsed.error());
+    return;
+  }
+  if (!held_.TrySet(parser_.held_bytes())) {
+    RefuseAnswer(Error(ErrorKind::kOverloaded,
+                       std::to_string(parser_.held_bytes()) +
+                           " bytes are too many beside what is held already"));
+    return;
+  }
   if (parser_.done()) {
     CallReply reply{.outcome = HttpCallOutcome::kAnswered,
                     .status = parser_.head().status,
                     .body = parser_.TakeBody(),
                     .fields = parser_.head().fields};
+    held_.Set(0);
     const bool keep =
         parser_.keep_alive() && !parser_.has_surplus() && bool(parser_.Next());
     if (!keep) {
@@ -172,6 +191,16 @@
   }
 }
 
+void HttpClient::RefuseAnswer(const Error& error) {
+  LogLine("answer_refused")
+      .With("from", address_.ToString())
+      .With(error)
+      .Warning();
+  // What is held is not a complete answer.
+  CloseSocket();
+  Finish({.outcome = HttpCallOutcome::kNoAnswer});
+}
+
 void HttpClient::OnConnectionEnd() {
   const bool complete = bool(parser_.FeedEnd()) && parser_.head_done();
   const int status = complete ? parser_.head().status : 0;
--- a/modules/qh_net/http_client.h
+++ b/modules/qh_net/http_client.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "qh_core/time/time.h"
+#include "qh_net/byte_budget.h"
 #include "qh_net/http_parser.h"
 #include "qh_net/socket_options.h"
 
@@ -60,9 +61,18 @@
   // retransmits come at ever longer intervals.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
 
-  // Creates a client of `address`. It connects with the first call.
-  static std::shared_ptr<HttpClient> Create(boost::asio::io_context& io,
-                                            Address address);
+  // Largest answers, unless Create is told otherwise. Lists are long.
+  static constexpr ParserLimits kDefaultLimits = {.header_bytes = 32U << 10U,
+                                                  .body_bytes = 16U << 20U};
+
+  // Creates a client of `address`. It connects with the first call. Answers are
+  // bounded by `limits`, and counted in `budget` unless that is null; one that
+  // passes either fails its call.
+  static std::shared_ptr<HttpClient> Create(
+      boost::asio::io_context& io,
+      Address address,
+      std::shared_ptr<ByteBudget> budget = nullptr,
+      const ParserLimits& limits = kDefaultLimits);
 
   // Queues `call`. `on_reply` is called once, unless Stop is called before. The
   // timeout starts when the call reaches the head of the queue, and again when
@@ -82,13 +92,18 @@
     Hook on_reply;
   };
 
-  HttpClient(boost::asio::io_context& io, Address address);
+  HttpClient(boost::asio::io_context& io,
+             Address address,
+             std::shared_ptr<ByteBudget> budget,
+             const ParserLimits& limits);
   void StartNext();
   void ArmTimer(Duration timeout);
   void Connect();
   void Write();
   void Read();
   void OnBytes(size_t size);
+  // Logs an answer that was not taken, and ends the connection.
+  void RefuseAnswer(const Error& error);
   void OnConnectionEnd();
   void Finish(CallReply reply);
   void CloseSocket();
@@ -97,7 +112,10 @@
   Address address_;
   TcpSocket socket_;
   boost::asio::steady_timer timer_;
+  ParserLimits limits_;
   HttpParser parser_;
+  // What the parser holds.
+  HeldBytes held_;
   // The first entry is the call in progress while busy_ is true.
   std::deque<Queued> queue_;
   bool busy_ = false;
--- a/modules/qh_net/http_service.cpp
+++ b/modules/qh_net/http_service.cpp
@@ -34,11 +34,12 @@
 class HttpService::Connection
     : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(TcpSocket socket, Hook answer)
+  Connection(TcpSocket socket, std::shared_ptr<ByteBudget> budget, Hook answer)
       : socket_(std::move(socket)),
         idle_(socket_.get_executor()),
         answer_(std::move(answer)),
-        parser_(MessageKind::kRequest, {}) {}
+        parser_(MessageKind::kRequest, {.body_bytes = kMaxBodyBytes}),
+        held_(std::move(budget), HoldPurpose::kControl) {}
 
   void Read() {
     idle_.expires_after(kIdleTimeout);
@@ -52,15 +53,38 @@
         boost::asio::buffer(in_),
         [self = shared_from_this()](const boost::system::error_code& error,
                                     size_t size) {
-          if (error || !self->parser_.Feed({self->in_.data(), size})) {
+          if (error) {
             self->Close();
             return;
           }
-          self->AnswerOrRead();
+          self->OnBytes(size);
         });
   }
 
  private:
+  void OnBytes(size_t size) {
+    if (const auto fed = parser_.Feed({in_.data(), size}); !fed) {
+      Refuse(fed.error());
+      return;
+    }
+    // Nobody reads the body.
+    parser_.TakeBody();
+    if (!held_.TrySet(parser_.held_bytes())) {
+      Refuse(Error(ErrorKind::kOverloaded, "too much is held already"));
+      return;
+    }
+    AnswerOrRead();
+  }
+
+  void Refuse(const Error& error) {
+    boost::system::error_code ignored;
+    LogLine("control_request_refused")
+        .With("from", socket_.remote_endpoint(ignored).address().to_string())
+        .With(error)
+        .Warning();
+    Close();
+  }
+
   void AnswerOrRead() {
     if (!parser_.done()) {
       Read();
@@ -68,10 +92,13 @@
     }
     const bool keep_alive = parser_.keep_alive();
     out_ = Serialize(answer_(parser_.head()), keep_alive);
+    held_.Set(out_.size() + parser_.held_bytes());
     boost::asio::async_write(
         socket_, boost::asio::buffer(out_),
         [self = shared_from_this(), keep_alive](
             const boost::system::error_code& error, size_t /*size*/) {
+          self->out_ = {};
+          self->held_.Set(self->parser_.held_bytes());
           if (error || !keep_alive || !self->parser_.Next()) {
             self->Close();
             return;
@@ -91,6 +118,8 @@
   boost::asio::steady_timer idle_;
   Hook answer_;
   HttpParser parser_;
+  // What the parser holds, and the answer that is being written.
+  HeldBytes held_;
   std::string out_;
   std::array<char, 4U << 10U> in_{};
 };
@@ -98,16 +127,21 @@
 Result<std::shared_ptr<HttpService>> HttpService::Start(
     boost::asio::io_context& io,
     const Address& address,
-    Hook answer) {
+    Hook answer,
+    std::shared_ptr<ByteBudget> budget) {
   BOOST_OUTCOME_TRY(acceptor, Listen(io, address));
-  std::shared_ptr<HttpService> service(
-      new HttpService(std::move(acceptor), std::move(answer)));
+  std::shared_ptr<HttpService> service(new HttpService(
+      std::move(acceptor), std::move(budget), std::move(answer)));
   service->Accept();
   return service;
 }
 
-HttpService::HttpService(TcpAcceptor acceptor, Hook answer)
-    : acceptor_(std::move(acceptor)), answer_(std::move(answer)) {}
+HttpService::HttpService(TcpAcceptor acceptor,
+                         std::shared_ptr<ByteBudget> budget,
+                         Hook answer)
+    : acceptor_(std::move(acceptor)),
+      budget_(std::move(budget)),
+      answer_(std::move(answer)) {}
 
 void HttpService::Stop() {
   boost::system::error_code ignored;
@@ -133,7 +167,9 @@
           return;
         }
         TuneSocket(socket);
-        std::make_shared<Connection>(std::move(socket), self->answer_)->Read();
+        std::make_shared<Connection>(std::move(socket), self->budget_,
+                                     self->answer_)
+            ->Read();
         self->Accept();
       });
 }
--- a/modules/qh_net/http_service.h
+++ b/modules/qh_net/http_service.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 
+#include "qh_net/byte_budget.h"
 #include "qh_net/http_head.h"
 #include "qh_net/socket_options.h"
 
@@ -27,11 +28,17 @@
  public:
   using Hook = std::function<ServiceAnswer(const HttpHead&)>;
 
-  // Listens on `address` and calls `answer` for each request. Fails as Listen
+  // Largest request body, which is read and dropped, in bytes.
+  static constexpr uint64_t kMaxBodyBytes = uint64_t{64} << 10U;
+
+  // Listens on `address` and calls `answer` for each request. Requests and
+  // unsent answers are counted in `budget` unless that is null. Fails as Listen
   // does.
-  static Result<std::shared_ptr<HttpService>> Start(boost::asio::io_context& io,
-                                                    const Address& address,
-                                                    Hook answer);
+  static Result<std::shared_ptr<HttpService>> Start(
+      boost::asio::io_context& io,
+      const Address& address,
+      Hook answer,
+      std::shared_ptr<ByteBudget> budget = nullptr);
 
   // Stops accepting connections. Open ones stay until their clients close them
   // or they have been idle for too long.
@@ -40,10 +47,13 @@
  private:
   class Connection;
 
-  HttpService(TcpAcceptor acceptor, Hook answer);
+  HttpService(TcpAcceptor acceptor,
+              std::shared_ptr<ByteBudget> budget,
+              Hook answer);
   void Accept();
 
   TcpAcceptor acceptor_;
+  std::shared_ptr<ByteBudget> budget_;
   Hook answer_;
 };
 
--- a/modules/qh_net/qh_net.h
+++ b/modules/qh_net/qh_net.h
@@ -10,6 +10,7 @@
 #define QH_NET_QH_NET_H_
 
 // clang-format off
+#include "qh_net/byte_budget.h"
 #include "qh_net/http_head.h"
 #include "qh_net/http_parser.h"
 #include "qh_net/idle_connection.h"
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -47,6 +47,20 @@
   return text;
 }
 
+// Returns what a server that is to flood sends in one write.
+std::string FloodOf(const ScriptedReply& reply) {
+  if (reply.flood.empty()) {
+    const std::string plain(kFloodBytes, 'x');
+    const bool chunked = reply.bytes.find("chunked") != std::string::npos;
+    return chunked ? EncodeChunk(plain, 1) : plain;
+  }
+  std::string flood;
+  while (flood.size() < kFloodBytes) {
+    flood += reply.flood;
+  }
+  return flood;
+}
+
 // Attaches a packet filter that drops every segment received by the socket, or
 // detaches it. Sockets accepted later inherit the filter of their listener.
 void SetDropping(int socket, bool dropping) {
@@ -76,7 +90,8 @@
   boost::asio::steady_timer delay_timer;
   HttpParser parser{MessageKind::kRequest, {}};
   bool stalled = false;
-  bool chunked = false;
+  // What a flood sends in one write.
+  std::string flood;
   std::array<char, 4'096> in{};
 };
 
@@ -214,18 +229,15 @@
       break;
     case ScriptedReply::Then::kFlood:
       ++flooding_;
-      connection->chunked = reply.bytes.find("chunked") != std::string::npos;
+      connection->flood = FloodOf(reply);
       Flood(connection);
       break;
   }
 }
 
 void ScriptedServer::Flood(const std::shared_ptr<Connection>& connection) {
-  static const std::string plain(kFloodBytes, 'x');
-  static const std::string chunk = EncodeChunk(plain, 1);
   boost::asio::async_write(
-      connection->socket,
-      boost::asio::buffer(connection->chunked ? chunk : plain),
+      connection->socket, boost::asio::buffer(connection->flood),
       [this, connection](const boost::system::error_code& error, size_t size) {
         flooded_bytes_ += size;
         if (error) {
--- a/tests/qh_gateway/gateway_fixture.h
+++ b/tests/qh_gateway/gateway_fixture.h
@@ -36,10 +36,11 @@
     // The server's process ends: it stops listening, and all its connections
     // are closed in order.
     kExit,
-    // Sends bytes without end until the peer closes: as chunks if `bytes` says
-    // so, else as they are.
+    // Sends bytes without end until the peer closes: `flood`, or if that is
+    // empty letters, as chunks if `bytes` says so.
     kFlood
   } then = Then::kKeepOpen;
+  std::string flood;
   // Sent after 30 ms, if not empty.
   std::string later;
 };
