A process that starts after a restore of the store doubts its records

Cause: a leader knew of a restore only if its process had seen the epoch rise. A process that started later took the lost record for one that was never written.

The first leader of an epoch now stores when it noticed the epoch (StoreEpochRecord, one small object an epoch, one read when a leader begins, one write an epoch). A window that had settled before that time, by the nodes' common clock and 0.5 s, is reported only from its record or if this process knows the report. On a first start nothing can be lost. Only min(own, stored) counts: both are after the restore. Without a restore the next process reports all windows as before.

--- a/modules/qh_gateway/control/leader_tasks.cpp
+++ b/modules/qh_gateway/control/leader_tasks.cpp
@@ -85,6 +85,7 @@
              state.codec.store,
              state.store_epoch,
              state.byte_budget),
+      epoch_record_(state, store_),
       capacity_planner_(CapacityPlanner::Settings{}) {
   if (!state.settings.first_start) {
     lease_.BarClaims(BootNow() + lease_.settings().duration);
@@ -106,11 +107,12 @@
 void LeaderTasks::OnStoreEpoch(uint64_t epoch, bool restored) {
   if (!restored) {
     lease_.SetStoreEpoch(epoch);
+    epoch_record_.OnEpoch(epoch, restored);
     return;
   }
   store_.Reset();
+  epoch_record_.OnEpoch(epoch, restored);
   report_step_ = ReportStep::kNone;
-  restored_at_ = state_.wall_clock.Now(MonotonicNow());
   RunLease(lease_.Advance(
       {.kind = LeaseEventKind::kStoreRestored, .store_epoch = epoch},
       BootNow()));
--- a/modules/qh_gateway/control/leader_tasks.h
+++ b/modules/qh_gateway/control/leader_tasks.h
@@ -3,8 +3,10 @@
 // lease in the store, and every call to the cloud carries the lease's fencing
 // number. The report of a window is written to the store before it is sent, so
 // that a retry, also by the next leader, sends the same counts. A store that
-// was restored from an older copy may have lost that record. The report is then
-// only sent by a leader that knows its counts or that none was sent.
+// was restored from an older copy may have lost that record, also before the
+// leader's process began. The report is then only sent by a leader that knows
+// its counts or that none was sent: a missing report is better than two
+// different ones.
 // The implementation is in leader_tasks.cpp (lease, orders) and
 // leader_tasks_reports.cpp (usage).
 
@@ -18,6 +20,7 @@
 #include <string>
 
 #include "qh_gateway/control/store_connection.h"
+#include "qh_gateway/control/store_epoch_record.h"
 #include "qh_gateway/decisions/capacity_planner.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 #include "qh_net/http_client.h"
@@ -122,6 +125,7 @@
   GatewayState& state_;
   Lease lease_;
   StoreConnection store_;
+  StoreEpochRecord epoch_record_;
   std::shared_ptr<HttpClient> cloud_;
   bool is_leader_ = false;
   bool stopped_ = false;
@@ -136,9 +140,6 @@
   // Reports that this process has read from the store or written to it, by
   // window; only the newest.
   std::map<int64_t, UsageReport> known_reports_;
-  // Wall-clock time at which the last restore of the store was noticed.
-  std::optional<Duration> restored_at_;
-
   CapacityPlanner capacity_planner_;
   TimePoint last_planned_at_;
   // Orders sent and not yet answered.
--- a/modules/qh_gateway/control/leader_tasks_reports.cpp
+++ b/modules/qh_gateway/control/leader_tasks_reports.cpp
@@ -18,6 +18,8 @@
 constexpr const char* kReportKind = "usage-reports";
 // Reports kept in case that the store loses their records.
 constexpr size_t kKnownReports = 16;
+// How far the clocks of two leaders may be apart.
+constexpr Duration kClockTolerance = std::chrono::milliseconds(500);
 
 // Returns the name of the stored object that holds the report of `window`.
 std::string ReportName(int64_t window) {
@@ -54,6 +56,10 @@
 
 void LeaderTasks::RunReports(TimePoint now, size_t unresponsive_peers) {
   const Duration wall = state_.wall_clock.Now(now);
+  if (!epoch_record_.is_resolved()) {
+    epoch_record_.Resolve(now);
+    return;
+  }
   if (!next_window_) {
     // Starts with the oldest window that is not overdue, because an earlier
     // holder may have left windows unreported.
@@ -77,8 +83,10 @@
 }
 
 bool LeaderTasks::MayHaveLostRecord(int64_t window) const {
-  return restored_at_ && !known_reports_.contains(window) &&
-         state_.usage.EndOf(window) + kSettleTime < *restored_at_;
+  // No window is recorded before its counts had time to settle.
+  return !known_reports_.contains(window) &&
+         state_.usage.EndOf(window) + kSettleTime <
+             epoch_record_.lost_before() + kClockTolerance;
 }
 
 void LeaderTasks::RecordReport(int64_t window) {
--- a/modules/qh_gateway/qh_gateway.h
+++ b/modules/qh_gateway/qh_gateway.h
@@ -29,6 +29,7 @@
 #include "qh_gateway/control/peer_heartbeat.h"
 #include "qh_gateway/control/peer_state_fetcher.h"
 #include "qh_gateway/control/store_connection.h"
+#include "qh_gateway/control/store_epoch_record.h"
 #include "qh_gateway/control/store_watcher.h"
 #include "qh_gateway/control/verdict_archive.h"
 #include "qh_gateway/decisions/capacity_planner.h"
--- a/tests/qh_gateway/leader_tasks_test.cpp
+++ b/tests/qh_gateway/leader_tasks_test.cpp
@@ -35,6 +35,14 @@
         }) {}
 
   Address address() const { return server_.address(); }
+  // Creates an object, whose path begins with that of its kind.
+  void Put(const std::string& kind_path,
+           const std::string& name,
+           const std::string& content) {
+    objects_[kind_path + "/" + name] = {
+        {"metadata", {{"name", name}, {"revision", ++revision_}}},
+        {"spec", Json::parse(content)}};
+  }
   // Goes back to a state without any object.
   void RestoreEmpty() {
     objects_.clear();
@@ -87,6 +95,34 @@
   return settings;
 }
 
+// A process that starts later than the fixture's: it has counted nothing and
+// knows nothing of the store.
+struct LaterProcess {
+  LaterProcess(boost::asio::io_context& io,
+               const WireCodec& codec,
+               GatewaySettings settings,
+               const std::string& incarnation)
+      : state(io, codec, Later(std::move(settings)), MonotonicNow(), 7),
+        leader(state, incarnation, 7) {
+    state.on_store_epoch = [this](uint64_t epoch, bool restored) {
+      leader.OnStoreEpoch(epoch, restored);
+    };
+  }
+
+  static GatewaySettings Later(GatewaySettings settings) {
+    settings.first_start = false;
+    return settings;
+  }
+  void Tick() {
+    const TimePoint now = MonotonicNow();
+    state.wall_clock.OnLocalTime(WallNow(), now);
+    leader.OnTick(now, BootNow(), 0, true);
+  }
+
+  GatewayState state;
+  LeaderTasks leader;
+};
+
 struct LeaderFixture : GatewayFixture {
   LeaderFixture() : GatewayFixture(LeaderSettings()), store(io) {
     cloud = std::make_unique<ScriptedServer>(
@@ -132,8 +168,38 @@
     return done();
   }
 
+  // Ends all processes and starts another one.
+  void RestartAll(const std::string& incarnation) {
+    for (const auto& leader : leaders) {
+      leader->Stop();
+    }
+    leaders.clear();
+    if (later != nullptr) {
+      later->leader.Stop();
+    }
+    later =
+        std::make_unique<LaterProcess>(io, codec, state.settings, incarnation);
+  }
+  // Ticks the later process until a window after `window` is reported.
+  bool TickLaterUntilAfter(int64_t window) {
+    const TimePoint end = MonotonicNow() + seconds(20);
+    while (reports.rbegin()->first <= window && MonotonicNow() < end) {
+      later->Tick();
+      RunFor(milliseconds(25));
+    }
+    return reports.rbegin()->first > window;
+  }
+  void CheckNoWindowHasTwoCounts() const {
+    for (const auto& [window, counts] : reports) {
+      CAPTURE(window);
+      CHECK(counts.size() == 1);
+    }
+    CHECK(std::is_sorted(fencing.begin(), fencing.end()));
+  }
+
   StoreStandin store;
   std::unique_ptr<ScriptedServer> cloud;
+  std::unique_ptr<LaterProcess> later;
   std::vector<std::unique_ptr<LeaderTasks>> leaders;
   // Counts reported for each window.
   std::map<int64_t, std::set<std::string>> reports;
@@ -171,4 +237,50 @@
   CHECK(fencing.back() > Lease::kFencingPerEpoch * 2);
 }
 
+// Guards against review/2: a process that started after the restore took the
+// lost records for ones that were never written.
+TEST_CASE_METHOD(
+    LeaderFixture,
+    "a process that starts after a restore reports no window twice") {
+  AddLeader("first");
+  REQUIRE(TickUntil([&] { return busy_windows >= 3; }));
+  const int64_t last_before = reports.rbegin()->first;
+  store.RestoreEmpty();
+  RestartAll("second");
+  REQUIRE(TickLaterUntilAfter(last_before + 4));
+  CheckNoWindowHasTwoCounts();
+  // One more process, which finds what the second has written down.
+  const int64_t last_of_second = reports.rbegin()->first;
+  RestartAll("third");
+  REQUIRE(TickLaterUntilAfter(last_of_second + 2));
+  CheckNoWindowHasTwoCounts();
+  CHECK(reports.contains(last_of_second + 1));
+}
+
+TEST_CASE_METHOD(LeaderFixture,
+                 "without a restore the next process goes on where the last "
+                 "one ended") {
+  AddLeader("first");
+  REQUIRE(TickUntil([&] { return busy_windows >= 3; }));
+  const int64_t last_before = reports.rbegin()->first;
+  RestartAll("second");
+  REQUIRE(TickLaterUntilAfter(last_before + 3));
+  CheckNoWindowHasTwoCounts();
+  for (int64_t window = last_before; window <= last_before + 3; ++window) {
+    CHECK(reports.contains(window));
+  }
+}
+
+TEST_CASE_METHOD(LeaderFixture,
+                 "a record of the epoch that can't be read is doubted") {
+  AddLeader("first");
+  REQUIRE(TickUntil([&] { return busy_windows >= 3; }));
+  const int64_t last_before = reports.rbegin()->first;
+  store.RestoreEmpty();
+  store.Put("/objects/store-epochs", "epoch-2", R"({"noticed_ms":"soon"})");
+  RestartAll("second");
+  REQUIRE(TickLaterUntilAfter(last_before + 4));
+  CheckNoWindowHasTwoCounts();
+}
+
 }  // namespace qh
