An HTTP/1.0 answer that ends early resets its connection

To a caller of HTTP/1.0 a stream ends with its connection.

The connection is set to reset on close when such an answer begins, and back when its last byte is written, so that every end holds: a failed read, the stop at the end of the grace period, the process's own end.

--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -213,6 +213,12 @@
 }
 
 std::optional<std::chrono::seconds> CallerConnection::BeginAnswer() {
+  if (parser_.head().minor_version == 0) {
+    // The answer may end with the connection. If the connection ends sooner,
+    // for whatever reason, an orderly close would make it look complete.
+    resets_on_close_ = true;
+    SetResetOnClose(socket_, true);
+  }
   keep_alive_ = keep_alive_ && !state_.draining_since;
   if (!keep_alive_) {
     return std::nullopt;
@@ -359,6 +365,9 @@
   exchange_ = nullptr;
   answer_complete_ = false;
   backpressure_ = false;
+  if (std::exchange(resets_on_close_, false)) {
+    SetResetOnClose(socket_, false);
+  }
   read_ahead_ = 0;
   idle_since_ = MonotonicNow();
   if (!keep_alive_) {
--- a/modules/qh_gateway/forwarding/caller_connection.h
+++ b/modules/qh_gateway/forwarding/caller_connection.h
@@ -132,6 +132,8 @@
   bool counted_unfinished_ = false;
   // A request was rejected; nothing after its first bytes is read as a request.
   bool rejected_ = false;
+  // Closing the socket now resets the connection.
+  bool resets_on_close_ = false;
   // Half-closed; input is discarded until the caller closes.
   bool lingering_ = false;
   bool closed_ = false;
--- a/modules/qh_net/socket_options.cpp
+++ b/modules/qh_net/socket_options.cpp
@@ -51,6 +51,11 @@
   socket.set_option(TcpOption<TCP_KEEPIDLE>(idle_seconds), ignored);
 }
 
+void SetResetOnClose(TcpSocket& socket, bool reset) {
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::socket_base::linger(reset, 0), ignored);
+}
+
 Result<tcp::endpoint> ToEndpoint(const Address& address) {
   boost::system::error_code error;
   const auto ip = boost::asio::ip::make_address(address.host, error);
--- a/modules/qh_net/socket_options.h
+++ b/modules/qh_net/socket_options.h
@@ -34,6 +34,10 @@
 // ignored.
 void SetSilenceTolerance(TcpSocket& socket, SilenceTolerance tolerance);
 
+// Sets whether closing the connection resets it, also when the process ends.
+// Unsent bytes are then lost. Errors are ignored.
+void SetResetOnClose(TcpSocket& socket, bool reset);
+
 // Returns `address` as an endpoint. Fails with kConfigInvalid if its host is
 // not an IP address.
 Result<boost::asio::ip::tcp::endpoint> ToEndpoint(const Address& address);
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -270,6 +270,7 @@
       [this](const boost::system::error_code& error, size_t size) {
         if (error) {
           closed_ = true;
+          was_reset_ = error == boost::asio::error::connection_reset;
           return;
         }
         received_.append(in_.data(), size);
--- a/tests/qh_gateway/gateway_fixture.h
+++ b/tests/qh_gateway/gateway_fixture.h
@@ -111,6 +111,8 @@
   const std::string& received() const { return received_; }
   // Whether the connection has ended.
   bool closed() const { return closed_; }
+  // Whether it was reset.
+  bool was_reset() const { return was_reset_; }
 
  private:
   void Read();
@@ -119,6 +121,7 @@
   std::string received_;
   std::array<char, 4'096> in_{};
   bool closed_ = false;
+  bool was_reset_ = false;
 };
 
 class GatewayFixture {
--- a/tests/qh_gateway/robustness_test.cpp
+++ b/tests/qh_gateway/robustness_test.cpp
@@ -139,6 +139,34 @@
   }
 }
 
+// Guards against a stream that looks complete to a caller of HTTP/1.0, for whom
+// it ends with its connection.
+TEST_CASE_METHOD(GatewayFixture,
+                 "an answer of HTTP/1.0 that ends early is reset") {
+  struct Case {
+    const char* name;
+    ScriptedReply reply;
+    bool complete;
+  };
+  const std::string begun = StreamHead() + Events(1, 2);
+  const auto tried = GENERATE_COPY(
+      Case{"whole", {.bytes = begun + EncodeLastChunk(1)}, true},
+      Case{
+          "reset by its server", {.bytes = begun, .then = Then::kReset}, false},
+      Case{"closed", {.bytes = begun, .then = Then::kHalfClose}, false},
+      Case{"cut within an event",
+           {.bytes = begun + "3\r\nid:\r\n0\r\n\r\n"},
+           false},
+      Case{"without end", {.bytes = begun, .then = Then::kStall}, false});
+  CAPTURE(tried.name);
+  AddServer("a", "chat", [&](size_t, const HttpHead&) { return tried.reply; });
+  ScriptedCaller& caller = AddCaller();
+  caller.Send("GET /stream/x HTTP/1.0\r\nHost: h\r\nRequest-Id: r1\r\n\r\n");
+  REQUIRE(RunUntil([&] { return caller.closed(); }));
+  CHECK(caller.was_reset() != tried.complete);
+  CHECK(Has(caller.received(), "id: 2\n") >= tried.complete);
+}
+
 // A second copy of an answer arrives late, on a connection that would be used
 // again for another caller.
 TEST_CASE_METHOD(GatewayFixture,
