A stream goes on only with an answer of its own kind

Another operator's report: a stream broke off, and the next server's error text, or an end as if it were complete, reached the caller. Errors of 4xx and 5xx did not here. A further server's 204 or 206 ended the stream as complete or went on with its bytes, and so did a page in another media type (200, text/html) with an empty line in it.

A resumed stream is passed on only if status and media type are those of the head that the caller has; else the attempt has failed, and the next one, or a break of the connection, follows. A further server that has no more events still ends the stream: its run may have broken off after the last one. A 204 on a route for streams is answered without a body; the last chunk that followed it was bytes of no answer.

--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -24,10 +24,19 @@
 // complete. A faulty server may send bytes without end.
 constexpr size_t kMaxHeldBytes = size_t{4} << 20U;
 
+constexpr int kNoContent = 204;
+
 bool IsSuccess(int status) {
   return status >= 200 && status < 300;
 }
 
+// Returns the type of an answer's body without its parameters; empty if the
+// server does not say.
+std::string MediaType(const HttpHead& head) {
+  const std::string* type = head.Find("Content-Type");
+  return type == nullptr ? std::string() : type->substr(0, type->find(';'));
+}
+
 }  // namespace
 
 std::shared_ptr<Exchange> Exchange::Create(GatewayState& state,
@@ -127,7 +136,17 @@
 }
 
 bool Exchange::streaming_answer() const {
-  return is_stream() && IsSuccess(answer_head_.status);
+  return is_stream() && IsSuccess(answer_head_.status) &&
+         answer_head_.status != kNoContent && continues_forwarded_answer();
+}
+
+bool Exchange::continues_forwarded_answer() const {
+  if (!forwarding_) {
+    return true;
+  }
+  const std::string type = MediaType(answer_head_);
+  return answer_head_.status == forwarded_head_.status &&
+         (type.empty() || SameFieldName(type, MediaType(forwarded_head_)));
 }
 
 void Exchange::OnHead(const HttpHead& head, const AnswerTraits& traits) {
@@ -307,7 +326,8 @@
   const bool failed = IsServerError(answer_head_.status);
   if (forwarding_ || (failed && MayRetry())) {
     OnAttemptFailed(AttemptOutcome::kFailed,
-                    "server answered " + std::to_string(answer_head_.status));
+                    "server answered " + std::to_string(answer_head_.status) +
+                        " " + MediaType(answer_head_));
     return;
   }
   ReleaseServer(failed ? AttemptOutcome::kFailed : AttemptOutcome::kAnswered);
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -25,6 +25,7 @@
 
 void Exchange::ForwardHead(const HttpHead& head, bool chunked, size_t length) {
   forwarding_ = true;
+  forwarded_head_ = head;
   sink_.write(SerializeAnswerHead(head, request_.minor_version,
                                   sink_.begin_answer(), chunked, length),
               false);
--- a/tests/qh_gateway/robustness_test.cpp
+++ b/tests/qh_gateway/robustness_test.cpp
@@ -167,6 +167,69 @@
   CHECK(Has(caller.received(), "id: 2\n") >= tried.complete);
 }
 
+// Guards against a stream that goes on with what is no part of it, or that ends
+// as if it were complete.
+TEST_CASE_METHOD(GatewayFixture,
+                 "a stream does not go on with another kind of answer") {
+  const auto further = GENERATE(
+      as<std::string>(),
+      "HTTP/1.1 204 None\r\nRequest-Id: %ID%\r\nServer-Stamp: t\r\n\r\n",
+      "HTTP/1.1 206 Part\r\nRequest-Id: %ID%\r\nServer-Stamp: t\r\n"
+      "Content-Type: text/event-stream\r\nContent-Length: 11\r\n\r\n"
+      "data: odd\n\n",
+      "HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: t\r\n"
+      "Content-Type: text/html\r\nContent-Length: 12\r\n\r\n<p>odd</p>\n\n",
+      "HTTP/1.1 404 Odd\r\nRequest-Id: %ID%\r\nServer-Stamp: t\r\n"
+      "Content-Length: 5\r\n\r\nodd\n\n",
+      "HTTP/1.1 302 Odd\r\nRequest-Id: %ID%\r\nLocation: /odd\r\n"
+      "Content-Length: 0\r\n\r\n");
+  const int minor_version = GENERATE(0, 1);
+  const auto script = [&](size_t, const HttpHead& head) {
+    return head.Find("Last-Event-Id") == nullptr
+               ? ScriptedReply{.bytes = StreamHead() + Events(1, 2),
+                               .then = Then::kReset}
+               : ScriptedReply{.bytes = further};
+  };
+  AddServer("a", "chat", script);
+  AddServer("b", "chat", script);
+  ScriptedCaller& caller = AddCaller();
+  caller.Send("GET /resume/x HTTP/1." + std::to_string(minor_version) +
+              "\r\nHost: h\r\nRequest-Id: r1\r\n\r\n");
+  REQUIRE(RunUntil([&] { return caller.closed(); }));
+  CAPTURE(further, caller.received());
+  CHECK_FALSE(Has(caller.received(), "odd"));
+  CHECK_FALSE(Has(caller.received(), EncodeLastChunk(1)));
+  CHECK(caller.was_reset() == (minor_version == 0));
+}
+
+// The run may have been broken off after its last event.
+TEST_CASE_METHOD(GatewayFixture,
+                 "a stream ends where the next server has no more events") {
+  const auto script = [&](size_t, const HttpHead& head) {
+    return head.Find("Last-Event-Id") == nullptr
+               ? ScriptedReply{.bytes = StreamHead() + Events(1, 2),
+                               .then = Then::kReset}
+               : ScriptedReply{.bytes = StreamHead() + EncodeLastChunk(1)};
+  };
+  AddServer("a", "chat", script);
+  AddServer("b", "chat", script);
+  ScriptedCaller& caller = SendRequest("GET", "/resume/x");
+  CHECK(RunUntil([&] { return LooksComplete(caller.received()); }));
+}
+
+TEST_CASE_METHOD(GatewayFixture, "an answer without content has no body") {
+  AddServer("a", "chat", [](size_t, const HttpHead&) {
+    return ScriptedReply{.bytes =
+                             "HTTP/1.1 204 None\r\nRequest-Id: %ID%\r\n"
+                             "Server-Stamp: t\r\n\r\n"};
+  });
+  ScriptedCaller& caller = SendRequest("GET", "/stream/x");
+  REQUIRE(RunUntil([&] { return IsAnswered(caller); }));
+  RunFor(milliseconds(20));
+  CHECK(Has(caller.received(), " 204 "));
+  CHECK(caller.received().find("\r\n\r\n") + 4 == caller.received().size());
+}
+
 // A second copy of an answer arrives late, on a connection that would be used
 // again for another caller.
 TEST_CASE_METHOD(GatewayFixture,
