A leaving server that closed an answer's connection is probed too

An answer that ended with its connection is complete only if the server, at the address of the connection, accepts another one 30 ms later; gone, crashed and unreachable alike mean that it isn't. A leaving server that is gone is no evidence against a request.

--- a/modules/qh_gateway/forwarding/crash_probe.cpp
+++ b/modules/qh_gateway/forwarding/crash_probe.cpp
@@ -1,10 +1,16 @@
 #include "qh_gateway/forwarding/crash_probe.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
 #include "qh_core/hash/hash.h"
 
 namespace qh {
 namespace {
 
+// A process that ends may close its connections before its listening socket.
+constexpr Duration kOrderlyEndDelay = std::chrono::milliseconds(30);
+
 // Returns the same value on all nodes. A restarted server has another one.
 uint64_t ProcessHash(const ServerProcess& process) {
   return Hash64(process.id.value(), static_cast<uint64_t>(process.started_ms));
@@ -29,6 +35,12 @@
   }
 }
 
+// Whether the server has said that it leaves, or is not listed any more.
+bool IsLeaving(const GatewayState& state, const ServerProcess& process) {
+  const ServerRecord* record = state.directory.Find(process.id);
+  return record == nullptr || record->draining;
+}
+
 ProbeResult OnProbed(GatewayState& state,
                      const InterruptedRun& run,
                      const ServerConnection& connection,
@@ -37,15 +49,18 @@
   if (connected) {
     return ProbeResult::kAlive;
   }
+  const bool refused = connection.was_refused();
+  if (IsLeaving(state, run.process)) {
+    return refused ? ProbeResult::kGone : ProbeResult::kUnknown;
+  }
   const TimePoint now = MonotonicNow();
   state.picker.OnUnreachable(run.process.id, now);
-  const bool crashed = connection.was_refused();
   state.log.Write(LogLine(ToName(GatewayEvent::kServerEjected))
                       .With("server", run.process.id.value())
-                      .With("end", crashed ? "crashed during a request"
+                      .With("end", refused ? "crashed during a request"
                                            : "lost during a request"),
                   GatewayEvent::kServerEjected);
-  if (!crashed) {
+  if (!refused) {
     // The path to the server may be cut; that speaks against no request.
     return ProbeResult::kUnknown;
   }
@@ -53,25 +68,40 @@
   return ProbeResult::kCrashed;
 }
 
-}  // namespace
-
-void ProbeAfterDisconnect(GatewayState& state,
-                          const InterruptedRun& run,
-                          const std::function<void(ProbeResult)>& on_done) {
-  const auto done = on_done ? on_done : [](ProbeResult) {};
-  const ServerRecord* record = state.directory.Find(run.process.id);
-  if (record == nullptr || record->draining) {
-    done(ProbeResult::kUnknown);
-    return;
-  }
+void Probe(GatewayState& state,
+           const InterruptedRun& run,
+           TimePoint interrupted,
+           std::function<void(ProbeResult)> on_done) {
   const auto connection =
       ServerConnection::Create(state.io, state.codec, run.process.id);
   connection->Connect(
-      record->address, ServerConnectionPool::kConnectTimeout,
-      [&state, connection, run, done,
-       interrupted = MonotonicNow()](bool connected) {
+      run.address, ServerConnectionPool::kConnectTimeout,
+      [&state, connection, run, on_done = std::move(on_done),
+       interrupted](bool connected) {
         connection->Close();
-        done(OnProbed(state, run, *connection, connected, interrupted));
+        on_done(OnProbed(state, run, *connection, connected, interrupted));
+      });
+}
+
+}  // namespace
+
+void ProbeAfterDisconnect(GatewayState& state, const InterruptedRun& run) {
+  if (!IsLeaving(state, run.process)) {
+    Probe(state, run, MonotonicNow(), [](ProbeResult) {});
+  }
+}
+
+void ProbeAfterOrderlyClose(GatewayState& state,
+                            const InterruptedRun& run,
+                            std::function<void(ProbeResult)> on_done) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(state.io);
+  timer->expires_after(kOrderlyEndDelay);
+  timer->async_wait(
+      [&state, timer, run, interrupted = MonotonicNow(),
+       on_done = std::move(on_done)](const boost::system::error_code& error) {
+        if (!error) {
+          Probe(state, run, interrupted, on_done);
+        }
       });
 }
 
--- a/modules/qh_gateway/forwarding/crash_probe.h
+++ b/modules/qh_gateway/forwarding/crash_probe.h
@@ -1,5 +1,5 @@
 // Finds out whether a server crashed when it dropped a connection during a
-// request.
+// request, or still lives when it ended an answer by closing the connection.
 
 #ifndef QH_GATEWAY_FORWARDING_CRASH_PROBE_H_
 #define QH_GATEWAY_FORWARDING_CRASH_PROBE_H_
@@ -13,6 +13,8 @@
 // A request whose connection the server closed.
 struct InterruptedRun {
   ServerProcess process;
+  // Where the connection led.
+  Address address;
   std::string request_id;
   RequestFeatures features;
   // Whether the server may have crashed of this request. It can't have if it
@@ -25,16 +27,31 @@
   kAlive,
   // Nothing listens any more, though the server has not said that it leaves.
   kCrashed,
-  // The server was leaving or could not be reached.
+  // Nothing listens any more at a server that was leaving. It ended in order or
+  // crashed.
+  kGone,
+  // The server could not be reached.
   kUnknown,
 };
 
-// Probes the server by a new connection, and calls `on_done`, if set. A server
-// that can't be reached is ejected. If it crashed, the crash is recorded for
-// the request.
-void ProbeAfterDisconnect(GatewayState& state,
-                          const InterruptedRun& run,
-                          const std::function<void(ProbeResult)>& on_done = {});
+template <>
+inline constexpr EnumName<ProbeResult> kEnumNames<ProbeResult>[] = {
+    {ProbeResult::kAlive, "alive"},
+    {ProbeResult::kCrashed, "crashed"},
+    {ProbeResult::kGone, "gone"},
+    {ProbeResult::kUnknown, "unreachable"},
+};
+
+// Probes the server of a broken connection by a new one. A server that can't be
+// reached is ejected. If it crashed, the crash is recorded for the request. A
+// server that is leaving is not probed.
+void ProbeAfterDisconnect(GatewayState& state, const InterruptedRun& run);
+
+// Probes the server of a connection that was closed in order, also one that is
+// leaving, and calls `on_done`. Else the same as ProbeAfterDisconnect.
+void ProbeAfterOrderlyClose(GatewayState& state,
+                            const InterruptedRun& run,
+                            std::function<void(ProbeResult)> on_done);
 
 }  // namespace qh
 
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -279,6 +279,7 @@
 
 InterruptedRun Exchange::CurrentRun() const {
   return {.process = process_,
+          .address = server_address_,
           .request_id = request_.id,
           .features = features_,
           .may_be_cause = !sound_noted_};
@@ -287,18 +288,20 @@
 void Exchange::ConfirmEnd() {
   confirming_end_ = true;
   stall_timer_.cancel();
-  ProbeAfterDisconnect(
+  ProbeAfterOrderlyClose(
       state_, CurrentRun(), [self = shared_from_this()](ProbeResult found) {
         self->confirming_end_ = false;
         if (self->finished_) {
           return;
         }
-        if (found == ProbeResult::kCrashed) {
-          self->OnAttemptFailed(AttemptOutcome::kBroken,
-                                "server crashed as the answer ended");
+        if (found == ProbeResult::kAlive) {
+          self->OnComplete();
           return;
         }
-        self->OnComplete();
+        // An answer that ends early must not look complete.
+        self->OnAttemptFailed(AttemptOutcome::kBroken,
+                              "server closed the connection, and is " +
+                                  std::string(ToName(found)));
       });
 }
 
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -121,7 +121,7 @@
   // A complete answer is passed on.
   void OnComplete();
   // The server ended the answer by closing the connection: finds out whether it
-  // crashed before it passes the answer on.
+  // still lives before it passes the answer on as complete.
   void ConfirmEnd();
   // The server goes on after it began this answer.
   void NoteSound();
@@ -199,8 +199,9 @@
   ServerConnectionPtr connection_;
   // The last server that the request was sent to.
   std::optional<ServerPick> pick_;
-  // The process of that server.
+  // The process of that server, and its address.
   ServerProcess process_;
+  Address server_address_;
   TimePoint attempt_started_;
   // From the start of the attempt to the first complete event of a stream, or
   // the head of any other answer.
--- a/modules/qh_gateway/forwarding/exchange_attempts.cpp
+++ b/modules/qh_gateway/forwarding/exchange_attempts.cpp
@@ -139,6 +139,7 @@
   pick_ = pick;
   const ServerRecord* server = state_.directory.Find(pick.server);
   process_ = {pick.server, server == nullptr ? 0 : server->started_ms};
+  server_address_ = connection->address();
   connection_ = connection;
   attempt_started_ = now;
   time_to_first_byte_.reset();
--- a/modules/qh_gateway/forwarding/server_connection.cpp
+++ b/modules/qh_gateway/forwarding/server_connection.cpp
@@ -36,6 +36,7 @@
                                Duration timeout,
                                std::function<void(bool)> on_done) {
   state_ = State::kConnecting;
+  address_ = address;
   const auto endpoint = ToEndpoint(address);
   const auto done =
       std::make_shared<std::function<void(bool)>>(std::move(on_done));
--- a/modules/qh_gateway/forwarding/server_connection.h
+++ b/modules/qh_gateway/forwarding/server_connection.h
@@ -69,6 +69,8 @@
   // Whether the connection is open and idle, so that a request may be sent.
   bool reusable() const;
   const ServerId& server() const { return server_; }
+  // The address given to Connect.
+  const Address& address() const { return address_; }
   // Idle time that the server allows; nothing if it did not say.
   std::optional<Duration> idle_timeout() const { return idle_timeout_; }
   // `on_idle_close` is called when the connection ends while idle.
@@ -99,6 +101,7 @@
 
   const WireCodec& codec_;
   ServerId server_;
+  Address address_;
   TcpSocket socket_;
   boost::asio::steady_timer timer_;
   HttpParser parser_;
--- a/tests/qh_gateway/crashing_part_test.cpp
+++ b/tests/qh_gateway/crashing_part_test.cpp
@@ -174,4 +174,49 @@
   CHECK(complete == lives);
 }
 
+// Guards against review/3: a leaving server that ended an answer by closing the
+// connection was not probed.
+TEST_CASE_METHOD(GatewayFixture,
+                 "a leaving server's crash does not complete its answer") {
+  enum class Leaving { kNo, kDraining, kUnlisted };
+  const Leaving leaving =
+      GENERATE(Leaving::kNo, Leaving::kDraining, Leaving::kUnlisted);
+  const bool lives = GENERATE(true, false);
+  // Some processes close their listening socket last.
+  const Duration stops_listening = GENERATE(milliseconds(0), milliseconds(15));
+  const bool stream = GENERATE(true, false);
+  const std::string service = stream ? "chat" : "plain";
+  auto& server = AddServer("a", service, [&](size_t, const HttpHead&) {
+    return ScriptedReply{
+        .bytes = std::string("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\n") +
+                 "Server-Stamp: stamp\r\n" +
+                 (stream ? "Content-Type: text/event-stream\r\n" : "") +
+                 "\r\nid: 1\ndata: x\n\n",
+        .then = Then::kStall};
+  });
+  ScriptedCaller& caller =
+      SendRequest("POST", stream ? "/stream/x" : "/unsafe/x", "r1",
+                  "Content-Length: 0\r\n");
+  REQUIRE(RunUntil([&] { return server.requests().size() == 1; }));
+  RunFor(milliseconds(10));
+  if (leaving == Leaving::kDraining) {
+    ServerRecord record = *state.directory.Find(ServerId("a"));
+    record.draining = true;
+    state.directory.OnServer(record, MonotonicNow());
+  } else if (leaving == Leaving::kUnlisted) {
+    state.directory.OnRemoved(ServerId("a"), false, MonotonicNow());
+  }
+  if (lives) {
+    server.EndStalled();
+  } else {
+    server.Exit(stops_listening);
+  }
+  REQUIRE(RunUntil([&] { return state.open_requests == 0; }));
+  RunFor(milliseconds(20));
+  const std::string& answer = caller.received();
+  const bool complete =
+      stream ? Has(answer, "\r\n0\r\n\r\n") : Has(answer, "data: x");
+  CHECK(complete == lives);
+}
+
 }  // namespace qh
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -98,6 +98,7 @@
 ScriptedServer::ScriptedServer(boost::asio::io_context& io, Script script)
     : io_(io),
       acceptor_(std::move(Listen(io, {"127.0.0.1", 0}).value())),
+      exit_timer_(io),
       script_(std::move(script)) {
   Accept();
 }
@@ -116,9 +117,18 @@
   }
 }
 
-void ScriptedServer::Exit() {
+void ScriptedServer::Exit(Duration later) {
   boost::system::error_code ignored;
-  acceptor_.close(ignored);
+  if (later > Duration::zero()) {
+    exit_timer_.expires_after(later);
+    exit_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        acceptor_.close();
+      }
+    });
+  } else {
+    acceptor_.close(ignored);
+  }
   for (const auto& weak : open_) {
     if (const auto connection = weak.lock()) {
       connection->socket.shutdown(TcpSocket::shutdown_send, ignored);
--- a/tests/qh_gateway/gateway_fixture.h
+++ b/tests/qh_gateway/gateway_fixture.h
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -76,8 +77,8 @@
   void SetSilent(bool silent);
   // Stops listening and resets all connections.
   void Crash();
-  // Stops listening and closes all connections in order.
-  void Exit();
+  // Closes all connections in order, and stops listening `later`.
+  void Exit(Duration later = Duration::zero());
 
  private:
   struct Connection;
@@ -89,6 +90,7 @@
 
   boost::asio::io_context& io_;
   TcpAcceptor acceptor_;
+  boost::asio::steady_timer exit_timer_;
   Script script_;
   std::vector<HttpHead> requests_;
   std::vector<std::weak_ptr<Connection>> open_;
