A node listed with another address registers anew

An older copy of the store may hold the registration of an earlier process of a node, under an address that nobody has any more. The node took it for its own, by its name alone, and its peers could not reach it.

--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -108,6 +108,9 @@
   void OnNodeObject(const StoredObject& object);
   // Adds a node to the known ones if its registration can be read.
   void AddNode(const StoredObject& object);
+  // Whether this is the registration of this node, with its present address. An
+  // older copy of the store may hold that of an earlier process.
+  bool IsOwnRegistration(const StoredObject& object) const;
   // The store's epoch became known or rose.
   void OnStoreEpoch(uint64_t epoch, bool restored);
   // Writes this node's address for heartbeats to the store, with retries.
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -181,7 +181,7 @@
   bool listed = false;
   for (const StoredObject& object : objects) {
     AddNode(object);
-    listed = listed || object.name == state_.settings.node.value();
+    listed = listed || IsOwnRegistration(object);
   }
   if (registered_ && !listed) {
     registered_ = false;
@@ -229,6 +229,15 @@
   AddNode(object);
 }
 
+bool GatewayNode::IsOwnRegistration(const StoredObject& object) const {
+  if (object.name != state_.settings.node.value()) {
+    return false;
+  }
+  const Json json = ParseBoundedJson(object.content);
+  return json.is_object() && json.contains(kNodePeers) &&
+         json[kNodePeers] == state_.settings.peer_address.ToString();
+}
+
 void GatewayNode::AddNode(const StoredObject& object) {
   const Json json = ParseBoundedJson(object.content);
   if (!json.is_object() || !json.contains(kNodePeers) ||
--- a/tests/qh_gateway/stale_state_test.cpp
+++ b/tests/qh_gateway/stale_state_test.cpp
@@ -159,4 +159,23 @@
   CHECK((kind == "servers" ? DrainIsKnownInTime() : ConfigIsInForceInTime()));
 }
 
+// An older copy of the store may hold the registration of an earlier process of
+// the node, under another address.
+TEST_CASE_METHOD(StaleStateFixture,
+                 "a node that is listed with another address registers anew") {
+  StartNodes(3, 1, 1);
+  const std::string kind = GatewayNode::kGatewayNodeKind;
+  const std::string registered = store.Contents(kind)["n0"];
+  store.Put(kind, "n0", R"({"peers":"127.0.0.9:1"})");
+  // A failed watch makes the node list the kind anew.
+  store.SetFault([&, start = MonotonicNow()](const ObjectStoreCall& call) {
+    const bool refuse = call.is_watch && call.kind == kind &&
+                        MonotonicNow() - start < std::chrono::milliseconds(500);
+    return refuse ? ObjectStoreFault::kRefuse : ObjectStoreFault::kNone;
+  });
+  store.Put(kind, "other", R"({"peers":"127.0.0.9:2"})");
+  CHECK(TimeUntil([&] { return store.Contents(kind)["n0"] == registered; },
+                  std::chrono::seconds(5)));
+}
+
 }  // namespace qh
