A node that ends answers what is open, and keeps the grace it was given

It now refuses those (503), fails the others (502), breaks begun streams off, and has 150 ms of its margin to write that.

A reload in the middle of a stop that shortened the grace period ended it earlier than the platform does: requests taken for the longer one were cut. The grace in force at the signal stays.

--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -186,8 +186,7 @@
           auto settings = reload_();
           LogLine line(ToName(GatewayEvent::kSettingsReloaded));
           if (settings) {
-            state_.settings.locate_ttl = settings.value().locate_ttl;
-            state_.settings.stop_grace = settings.value().stop_grace;
+            state_.TakeReloaded(settings.value());
             line.With("outcome", "taken");
           } else {
             line.With("outcome", "rejected, current settings kept")
@@ -308,7 +307,14 @@
   const Duration stopping = now - *state_.draining_since;
   const bool drained = state_.unfinished_answers == 0 &&
                        stopping >= state_.settings.locate_ttl + kLocateTtlSlack;
-  if (!drained && now < *state_.StopTime()) {
+  const TimePoint stop_time = *state_.StopTime();
+  if (!drained && now < stop_time) {
+    return;
+  }
+  state_.EndOpenRequests();
+  const bool answers_left = state_.unfinished_answers > 0 &&
+                            now < stop_time + GatewayState::kLastAnswersTime;
+  if (answers_left) {
     return;
   }
   state_.log.Write(LogLine(ToName(GatewayEvent::kStopped))
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -69,6 +69,11 @@
 
 void Exchange::Start() {
   ++state_.open_requests;
+  state_.stop_listeners[this] = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnNodeStops();
+    }
+  };
   if (!SelectRoute() || !AuthenticateTeam() || !CheckBlockedFeatures() ||
       !ChargeTeamLimit()) {
     return;
@@ -135,6 +140,18 @@
                               "not sent to any server before the deadline"));
 }
 
+void Exchange::OnNodeStops() {
+  if (connection_ != nullptr) {
+    connection_->Close();
+    ReleaseServer(AttemptOutcome::kAbandoned);
+  }
+  AnswerWithError(may_have_run_
+                      ? Error(ErrorKind::kServerFailed,
+                              "the node stops before the server has answered")
+                      : Error(ErrorKind::kDraining,
+                              "the node stops; not sent to any server"));
+}
+
 bool Exchange::streaming_answer() const {
   return is_stream() && IsSuccess(answer_head_.status) &&
          answer_head_.status != kNoContent && continues_forwarded_answer();
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -95,6 +95,8 @@
   void OnFeaturesBlocked();
   // Arms the timer that ends the exchange at `when`.
   void ArmDeadlineTimer(TimePoint when);
+  // The node ends: answers the request, or breaks off an answer that has begun.
+  void OnNodeStops();
   // The final answer is due, unless the answer has begun.
   void OnAnswerDue();
   void OnDeadline();
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -78,6 +78,23 @@
   return *draining_since + settings.stop_grace - kStopMargin;
 }
 
+void GatewayState::TakeReloaded(const GatewaySettings& reloaded) {
+  settings.locate_ttl = reloaded.locate_ttl;
+  // The platform kills the process after the grace period that was in force
+  // when it asked it to stop, and requests were accepted for that period.
+  if (!draining_since) {
+    settings.stop_grace = reloaded.stop_grace;
+  }
+}
+
+void GatewayState::EndOpenRequests() {
+  // Listeners remove themselves.
+  const auto listeners = stop_listeners;
+  for (const auto& [request, on_stop] : listeners) {
+    on_stop();
+  }
+}
+
 void GatewayState::OnServerAnswer(const ServerProcess& process,
                                   const AnswerTraits& traits) {
   const TimePoint now = MonotonicNow();
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -32,6 +32,8 @@
   // A stopping node ends this long before the grace period is over and the
   // process is killed.
   static constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+  // Part of that margin in which the last answers are written.
+  static constexpr Duration kLastAnswersTime = std::chrono::milliseconds(150);
 
   GatewayState(boost::asio::io_context& io_context,
                const WireCodec& wire_codec,
@@ -51,8 +53,14 @@
   // Logs and counts what this node sent to servers with rate limits.
   void ReportRateLimitUse(TimePoint now);
 
-  // When this node ends at the latest; nothing while it isn't draining.
+  // Takes over what a reloaded settings file may change.
+  void TakeReloaded(const GatewaySettings& reloaded);
+
+  // When this node ends at the latest, but for kLastAnswersTime; nothing while
+  // it isn't draining.
   std::optional<TimePoint> StopTime() const;
+  // Answers the requests that are still open, because this node ends.
+  void EndOpenRequests();
 
   // Number of known nodes, including this one.
   size_t node_count() const { return peer_count + 1; }
@@ -110,6 +118,9 @@
   // back. Holds the requests that were sent to a server and whose answer has
   // not begun, by their address.
   std::map<const void*, std::function<void()>> features_blocked_listeners;
+  // Called when this node ends. Holds the requests that are open, by their
+  // address.
+  std::map<const void*, std::function<void()>> stop_listeners;
   // Prompt tokens not expected in an engine's prefix cache, summed over all
   // attempts of this node, by service.
   std::map<std::string, double> prefill_tokens;
--- a/tests/qh_gateway/caller_connection_test.cpp
+++ b/tests/qh_gateway/caller_connection_test.cpp
@@ -294,6 +294,55 @@
   CHECK(Has(caller.received(), "HTTP/1.1 503 "));
 }
 
+// Guards against requests that are cut without an answer as the grace period
+// ends, among them some that were not sent to any server yet.
+TEST_CASE_METHOD(Fixture, "a node that ends answers what is open") {
+  AddServer("a", "plain", Always({.then = Then::kStall}));
+  AddServer(
+      "b", "chat",
+      Always({.bytes = StreamHead() + Events(1, 1), .then = Then::kStall}));
+  ScriptedCaller& sent = SendRequest("GET", "/unsafe/x", "r1");
+  ScriptedCaller& begun = SendRequest("GET", "/stream/x", "r2");
+  REQUIRE(RunUntil([&] { return Has(begun.received(), "id: 1\n"); }));
+  REQUIRE(RunUntil([&] { return state.sends["plain"] == 1; }));
+  state.draining_since = MonotonicNow();
+  state.EndOpenRequests();
+  CHECK(state.open_requests == 0);
+  REQUIRE(RunUntil([&] { return state.unfinished_answers == 0; }));
+  RunUntil([&] { return sent.closed() && begun.closed(); });
+  CHECK(Has(sent.received(), "HTTP/1.1 502 "));
+  CHECK(begun.closed());
+  CHECK_FALSE(Has(begun.received(), "\r\n0\r\n\r\n"));
+}
+
+TEST_CASE_METHOD(Fixture, "a node that ends refuses what it has not sent") {
+  ScriptedServer& server = AddServer("a", "plain", Always(kGoodReply));
+  server.SetSilent(true);
+  ScriptedCaller& caller = SendRequest("GET", "/unsafe/x", "r1");
+  REQUIRE(RunUntil([&] { return state.open_requests == 1; }));
+  state.EndOpenRequests();
+  CHECK(state.open_requests == 0);
+  REQUIRE(RunUntil([&] { return Has(caller.received(), "\r\n\r\n"); }));
+  CHECK(Has(caller.received(), "HTTP/1.1 503 "));
+  server.SetSilent(false);
+  RunFor(milliseconds(50));
+  CHECK(server.requests().empty());
+}
+
+// Requests were accepted for the grace period in force at the signal.
+TEST_CASE_METHOD(Fixture, "a reload does not change a stop that has begun") {
+  GatewaySettings reloaded = state.settings;
+  reloaded.stop_grace = std::chrono::seconds(2);
+  const Duration grace = state.settings.stop_grace;
+  state.draining_since = MonotonicNow();
+  state.TakeReloaded(reloaded);
+  CHECK(*state.StopTime() - *state.draining_since ==
+        grace - GatewayState::kStopMargin);
+  state.draining_since.reset();
+  state.TakeReloaded(reloaded);
+  CHECK(state.settings.stop_grace == reloaded.stop_grace);
+}
+
 // Guards against streams without a first event whose callers leave before the
 // node's answer.
 TEST_CASE_METHOD(Fixture,
