--- a/tests/qh_gateway/caller_connection_test.cpp
+++ b/tests/qh_gateway/caller_connection_test.cpp
@@ -343,6 +343,19 @@
   CHECK(state.settings.stop_grace == reloaded.stop_grace);
 }
 
+// A signal may be handled late: the node then takes the 3 s after it, in which
+// callers may send streams that outlast the node, for later than they are.
+TEST_CASE_METHOD(Fixture, "a stream that comes late in a stop is refused") {
+  ScriptedServer& server = AddServer(
+      "a", "chat",
+      Always({.bytes = StreamHead() + Events(1, 1), .then = Then::kStall}));
+  state.draining_since = MonotonicNow() - milliseconds(2'700);
+  ScriptedCaller& caller = SendRequest("GET", "/stream/x");
+  REQUIRE(RunUntil([&] { return Has(caller.received(), "\r\n\r\n"); }));
+  CHECK(Has(caller.received(), "HTTP/1.1 503 "));
+  CHECK(server.requests().empty());
+}
+
 // Guards against streams without a first event whose callers leave before the
 // node's answer.
 TEST_CASE_METHOD(Fixture,
