--- a/modules/qh_gateway/forwarding/exchange_admission.cpp
+++ b/modules/qh_gateway/forwarding/exchange_admission.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 // A draining node refuses streams that arrive later than this after it was
-// asked to stop: they could outlive the node. Callers expect that of streams
-// sent within 3 s; the rest is for a signal that the node handles late.
+// asked to stop: they could outlive the node. Callers accept that of streams
+// sent in the first 3 s; the rest is for a signal that the node handles late.
 constexpr auto kStreamGracePeriod = std::chrono::milliseconds(2'500);
 constexpr auto kDrainingRetryAfter = std::chrono::milliseconds(50);
 
--- a/modules/qh_net/byte_budget.cpp
+++ b/modules/qh_net/byte_budget.cpp
@@ -14,8 +14,8 @@
   if (purpose == HoldPurpose::kControl) {
     return sum <= limit_;
   }
-  return after <= kSmallHolding ? sum <= limit_ - limit_ / kSmallShareDivisor
-                                : sum <= limit_ / kLargeShareDivisor;
+  const bool is_small = after <= kSmallHolding;
+  return sum <= Share(is_small ? kSmallPercent : kLargePercent);
 }
 
 HeldBytes::HeldBytes(std::shared_ptr<ByteBudget> budget, HoldPurpose purpose)
--- a/modules/qh_net/byte_budget.h
+++ b/modules/qh_net/byte_budget.h
@@ -35,18 +35,18 @@
   uint64_t refusals() const { return refusals_; }
   // Whether owners should hold less where they can, because only small traffic
   // may still grow.
-  bool is_tight() const { return held_ > limit_ / kLargeShareDivisor; }
+  bool is_tight() const { return held_ > Share(kLargePercent); }
 
  private:
   friend class HeldBytes;
 
-  // Large traffic may bring the sum to half of the limit, small traffic to
-  // three quarters: few large messages must not keep out many small ones, nor
-  // both the control calls.
-  static constexpr uint64_t kLargeShareDivisor = 2;
-  static constexpr uint64_t kSmallShareDivisor = 4;
+  // Shares of the limit to which traffic may bring the sum: few large messages
+  // must not keep out many small ones, nor both the control calls.
+  static constexpr uint64_t kLargePercent = 50;
+  static constexpr uint64_t kSmallPercent = 75;
 
-  // Whether an owner that held `before` bytes may hold `after`.
+  uint64_t Share(uint64_t percent) const { return limit_ / 100 * percent; }
+  // Whether an owner that holds `before` bytes may hold `after`.
   bool Allows(HoldPurpose purpose, uint64_t before, uint64_t after) const;
 
   uint64_t limit_;
--- a/tests/qh_net/byte_budget_test.cpp
+++ b/tests/qh_net/byte_budget_test.cpp
@@ -7,7 +7,8 @@
 namespace qh {
 namespace {
 
-constexpr uint64_t kLimit = 16 * ByteBudget::kSmallHolding;
+// Divisible by 100, so that shares of it are exact.
+constexpr uint64_t kLimit = 100 * ByteBudget::kSmallHolding;
 
 }  // namespace
 
@@ -22,7 +23,7 @@
   CHECK_FALSE(budget->is_tight());
   REQUIRE(small.TrySet(ByteBudget::kSmallHolding));
   CHECK(budget->is_tight());
-  other.Set(3 * ByteBudget::kSmallHolding);
+  other.Set(24 * ByteBudget::kSmallHolding);
   HeldBytes late(budget, HoldPurpose::kTraffic);
   CHECK_FALSE(late.TrySet(1));
   CHECK(control.TrySet(kLimit / 4));
