--- a/modules/qh_gateway/control/leader_tasks_reports.cpp
+++ b/modules/qh_gateway/control/leader_tasks_reports.cpp
@@ -18,7 +18,8 @@
 constexpr const char* kReportKind = "usage-reports";
 // Reports kept in case that the store loses their records.
 constexpr size_t kKnownReports = 16;
-// How far the clocks of two leaders may be apart.
+// How far apart the clocks of a window's leader and of the process that noticed
+// a restore may be.
 constexpr Duration kClockTolerance = std::chrono::milliseconds(500);
 
 // Returns the name of the stored object that holds the report of `window`.
@@ -83,10 +84,12 @@
 }
 
 bool LeaderTasks::MayHaveLostRecord(int64_t window) const {
-  // No window is recorded before its counts had time to settle.
-  return !known_reports_.contains(window) &&
-         state_.usage.EndOf(window) + kSettleTime <
-             epoch_record_.lost_before() + kClockTolerance;
+  if (known_reports_.contains(window)) {
+    return false;
+  }
+  // A window is not recorded before its counts have had time to settle.
+  const Duration recorded_after = state_.usage.EndOf(window) + kSettleTime;
+  return recorded_after < epoch_record_.lost_before() + kClockTolerance;
 }
 
 void LeaderTasks::RecordReport(int64_t window) {
--- a/modules/qh_gateway/control/store_epoch_record.cpp
+++ b/modules/qh_gateway/control/store_epoch_record.cpp
@@ -15,19 +15,29 @@
 // Member of the object: wall-clock time since 1970.
 constexpr const char* kNoticed = "noticed_ms";
 
+// Greatest time that a Duration can hold.
+constexpr int64_t kMaxNoticedMs =
+    std::chrono::duration_cast<milliseconds>(Duration::max()).count();
+
 constexpr int kOk = 200;
 constexpr int kFirstNonSuccess = 300;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 
-// Returns the time that a record holds, or nullopt if it can't be read.
-std::optional<Duration> ReadNoticed(const std::string& content) {
+// Returns the time that a record holds. Fails with kPeerMalformed.
+Result<Duration> ReadNoticed(const std::string& content) {
   const Json json = ParseBoundedJson(content);
   if (!json.is_object() || !json.contains(kNoticed) ||
       !json[kNoticed].is_number_integer()) {
-    return std::nullopt;
+    return Error(ErrorKind::kPeerMalformed,
+                 "the record of an epoch has no time");
+  }
+  const auto noticed_ms = json[kNoticed].get<int64_t>();
+  if (noticed_ms < 0 || noticed_ms > kMaxNoticedMs) {
+    return Error(ErrorKind::kPeerMalformed,
+                 "the record of an epoch has an impossible time");
   }
-  return milliseconds(json[kNoticed].get<int64_t>());
+  return Duration(milliseconds(noticed_ms));
 }
 
 }  // namespace
@@ -38,7 +48,7 @@
 void StoreEpochRecord::OnEpoch(uint64_t epoch, bool restored) {
   epoch_ = epoch;
   noticed_ = MonotonicNow();
-  nothing_before_ = state_.settings.first_start && !restored;
+  starts_empty_ = state_.settings.first_start && !restored;
   lost_before_.reset();
   call_open_ = false;
 }
@@ -56,10 +66,10 @@
 
 // The nodes' common clock is asked as late as possible: a process that has just
 // started knows its own clock only.
-Duration StoreEpochRecord::NoticedAt() const {
+Duration StoreEpochRecord::OwnBound() const {
   const TimePoint now = MonotonicNow();
-  return nothing_before_ ? Duration(0)
-                         : state_.wall_clock.Now(now) - (now - noticed_);
+  return starts_empty_ ? Duration(0)
+                       : state_.wall_clock.Now(now) - (now - noticed_);
 }
 
 void StoreEpochRecord::Read() {
@@ -81,23 +91,21 @@
           : Result<StoredObject>(Error(ErrorKind::kStoreUnavailable,
                                        "the store did not return the record"));
   if (!object) {
-    Retry();
+    RetryAfter(object.error());
     return;
   }
+  lost_before_ = OwnBound();
   const auto noticed = ReadNoticed(object.value().content);
-  if (!noticed) {
-    state_.log.Write(LogLine(ToName(GatewayEvent::kLeaderCallFailed))
-                         .With("call", "read epoch")
-                         .With("name", name())
-                         .With("why", "the record can't be read"),
-                     GatewayEvent::kLeaderCallFailed);
+  if (noticed) {
+    // Both times are after the restore.
+    lost_before_ = std::min(noticed.value(), OwnBound());
+  } else {
+    LogFailure(noticed.error());
   }
-  // Both times are after the restore.
-  lost_before_ = std::min(noticed.value_or(NoticedAt()), NoticedAt());
 }
 
 void StoreEpochRecord::Write() {
-  const Duration noticed = NoticedAt();
+  const Duration noticed = OwnBound();
   const Json content{
       {kNoticed, std::chrono::duration_cast<milliseconds>(noticed).count()}};
   call_open_ = true;
@@ -111,7 +119,7 @@
   call_open_ = false;
   const bool answered = reply.outcome == HttpCallOutcome::kAnswered;
   if (answered && reply.status < kFirstNonSuccess) {
-    lost_before_ = NoticedAt();
+    lost_before_ = OwnBound();
     return;
   }
   if (answered && reply.status == kConflict) {
@@ -119,10 +127,20 @@
     Read();
     return;
   }
-  Retry();
+  RetryAfter(Error(ErrorKind::kStoreUnavailable,
+                   "the store did not write the record"));
+}
+
+void StoreEpochRecord::LogFailure(const Error& error) const {
+  state_.log.Write(LogLine(ToName(GatewayEvent::kLeaderCallFailed))
+                       .With("call", "epoch")
+                       .With("name", name())
+                       .With(error),
+                   GatewayEvent::kLeaderCallFailed);
 }
 
-void StoreEpochRecord::Retry() {
+void StoreEpochRecord::RetryAfter(const Error& error) {
+  LogFailure(error);
   no_call_before_ = MonotonicNow() + kRetryDelay;
 }
 
--- a/modules/qh_gateway/control/store_epoch_record.h
+++ b/modules/qh_gateway/control/store_epoch_record.h
@@ -43,19 +43,23 @@
   void OnRead(const CallReply& reply);
   void Write();
   void OnWritten(const CallReply& reply);
-  void Retry();
+  void LogFailure(const Error& error) const;
+  // Logs why a call failed, and delays the next one.
+  void RetryAfter(const Error& error);
+  // Name of the object that holds the record of this epoch.
   std::string name() const;
-  // Latest time at which the store can have been restored, as far as this
-  // process knows by itself.
-  Duration NoticedAt() const;
+  // The wall-clock time before which the store was restored, as far as this
+  // process knows by itself; zero if it wasn't.
+  Duration OwnBound() const;
 
   GatewayState& state_;
   StoreConnection& store_;
   std::optional<uint64_t> epoch_;
   // When this process noticed the epoch.
   TimePoint noticed_;
-  // No process was there before this one, so that nothing can be lost.
-  bool nothing_before_ = false;
+  // The deployment has just started for the first time: nothing was written
+  // that could be lost.
+  bool starts_empty_ = false;
   std::optional<Duration> lost_before_;
   bool call_open_ = false;
   TimePoint no_call_before_;
--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -112,7 +112,8 @@
     return;
   }
   if (!input_held_.TrySet(parser_.held_bytes())) {
-    // Read-ahead is bounded, and has no answer yet.
+    // While a request runs, these bytes are for later ones. They are bounded by
+    // kMaxReadAheadBytes, and a refusal would break into the running answer.
     if (exchange_ == nullptr) {
       RejectRequest(
           Error(ErrorKind::kOverloaded,
--- a/modules/qh_gateway/forwarding/caller_connection.h
+++ b/modules/qh_gateway/forwarding/caller_connection.h
@@ -50,7 +50,7 @@
   // Pauses reading from the server when more bytes than this are unsent;
   // reading goes on once less than half of them are left.
   static constexpr size_t kMaxUnsentBytes = 256U << 10U;
-  // The same while ByteBudget is tight.
+  // The same while the node holds much for all its connections together.
   static constexpr size_t kMaxUnsentBytesWhenTight = 16U << 10U;
   // Stops reading when more bytes than this have arrived during an exchange.
   static constexpr size_t kMaxReadAheadBytes = 64U << 10U;
@@ -90,6 +90,7 @@
   // returns the idle time to announce if it does.
   std::optional<std::chrono::seconds> BeginAnswer();
 
+  // The one of the two limits on unsent bytes that is in force.
   size_t MaxUnsentBytes() const;
   // Queues bytes of the current answer; `last` ends the answer.
   void Write(std::string bytes, bool last);
@@ -132,7 +133,8 @@
   bool counted_unfinished_ = false;
   // A request was rejected; nothing after its first bytes is read as a request.
   bool rejected_ = false;
-  // Closing the socket now resets the connection.
+  // Closing the socket now resets the connection: its end would else look like
+  // the end of the answer.
   bool resets_on_close_ = false;
   // Half-closed; input is discarded until the caller closes.
   bool lingering_ = false;
--- a/modules/qh_gateway/forwarding/crash_probe.h
+++ b/modules/qh_gateway/forwarding/crash_probe.h
@@ -48,7 +48,8 @@
 void ProbeAfterDisconnect(GatewayState& state, const InterruptedRun& run);
 
 // Probes the server of a connection that was closed in order, also one that is
-// leaving, and calls `on_done`. Else the same as ProbeAfterDisconnect.
+// leaving: only a server that still lives has ended its answer by the close.
+// Calls `on_done`. Else the same as ProbeAfterDisconnect.
 void ProbeAfterOrderlyClose(GatewayState& state,
                             const InterruptedRun& run,
                             std::function<void(ProbeResult)> on_done);
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -154,10 +154,10 @@
 
 bool Exchange::streaming_answer() const {
   return is_stream() && IsSuccess(answer_head_.status) &&
-         answer_head_.status != kNoContent && continues_forwarded_answer();
+         answer_head_.status != kNoContent && fits_forwarded_head();
 }
 
-bool Exchange::continues_forwarded_answer() const {
+bool Exchange::fits_forwarded_head() const {
   if (!forwarding_) {
     return true;
   }
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -164,8 +164,9 @@
   bool is_stream() const { return route_->kind == RequestKind::kStream; }
   // Whether the answer is a stream of events that is passed on as it arrives.
   bool streaming_answer() const;
-  // Whether the answer can go on the one that the caller has the head of.
-  bool continues_forwarded_answer() const;
+  // Whether the current attempt's answer may follow the head that the caller
+  // has received, which may be that of an earlier attempt.
+  bool fits_forwarded_head() const;
   Duration TimeLeft(TimePoint now) const;
   // How long the caller waits for an answer to begin, from when the request was
   // received.
@@ -248,7 +249,6 @@
   HeldBytes held_;
   // The head of the answer has been written to the caller.
   bool forwarding_ = false;
-  // That head, which may be an earlier server's.
   HttpHead forwarded_head_;
   bool finished_ = false;
 };
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -56,8 +56,8 @@
   // Takes over what a reloaded settings file may change.
   void TakeReloaded(const GatewaySettings& reloaded);
 
-  // When this node ends at the latest, but for kLastAnswersTime; nothing while
-  // it isn't draining.
+  // When this node stops to wait for answers and ends, after kLastAnswersTime
+  // at the latest; nothing while it isn't draining.
   std::optional<TimePoint> StopTime() const;
   // Answers the requests that are still open, because this node ends.
   void EndOpenRequests();
@@ -83,7 +83,8 @@
   // How current the configuration and the server list are.
   StateFreshness freshness;
 
-  // All that is held for messages in progress.
+  // Bounds what is held for messages in progress. Shared with connections that
+  // may outlive this.
   std::shared_ptr<ByteBudget> byte_budget;
 
   StoreEpoch store_epoch;
--- a/modules/qh_gateway/forwarding/server_connection.cpp
+++ b/modules/qh_gateway/forwarding/server_connection.cpp
@@ -147,12 +147,12 @@
     return;
   }
   const auto self = shared_from_this();
-  if (ProcessInput() && CheckSkippedBytes(size)) {
+  if (ProcessInput() && CountSkippedBytes(size)) {
     Read();
   }
 }
 
-bool ServerConnection::CheckSkippedBytes(size_t size) {
+bool ServerConnection::CountSkippedBytes(size_t size) {
   if (state_ != State::kBusy || head_delivered_) {
     return true;
   }
--- a/modules/qh_gateway/forwarding/server_connection.h
+++ b/modules/qh_gateway/forwarding/server_connection.h
@@ -86,9 +86,9 @@
                    ServerId server);
   void Read();
   void OnBytes(size_t size);
-  // Fails the request if too much came that doesn't answer it. Returns false if
-  // it did.
-  bool CheckSkippedBytes(size_t size);
+  // Counts received bytes of answers to other requests. Returns false, and
+  // fails the request, if they are too many.
+  bool CountSkippedBytes(size_t size);
   // Delivers what the parser holds to the listener. Returns false if the
   // connection was closed.
   bool ProcessInput();
--- a/modules/qh_node/node.cpp
+++ b/modules/qh_node/node.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <nlohmann/json.hpp>
 #include <thread>
 
 #include "qh_core/hash/hash.h"
@@ -10,19 +9,19 @@
 #include "qh_http_platform/http_platform.h"
 #include "qh_node/callers/caller_server.h"
 #include "qh_node/control/admin_server.h"
+#include "qh_node/control/claim_conversion.h"
 #include "qh_node/control/claim_driver.h"
 #include "qh_node/control/config_driver.h"
 #include "qh_node/control/demand_driver.h"
 #include "qh_node/control/instance_watcher.h"
 #include "qh_node/control/membership_driver.h"
+#include "qh_node/control/node_report.h"
 #include "qh_node/handover/request_handover.h"
 #include "qh_peer/peer_server.h"
 
 namespace qh {
 namespace {
 
-using nlohmann::json;
-
 constexpr size_t kMaxEndedRequests = 4'096;
 constexpr Duration kRoutingTickInterval = std::chrono::milliseconds(50);
 // During this time after its start a node is not ready: its shares of the team
@@ -52,26 +51,6 @@
       .substr(0, 8);
 }
 
-StoredAnswer ToStoredAnswer(const CompleteAnswer& answer) {
-  return {static_cast<uint32_t>(answer.status), answer.content_type,
-          answer.body};
-}
-
-ClaimReply ToClaimReply(const ClaimAnswer& answer) {
-  switch (answer.decision) {
-    case ClaimDecision::kWon:
-      return {ClaimVerdict::kWon, {}, {}};
-    case ClaimDecision::kReplayed:
-      return {ClaimVerdict::kReplayed,
-              {static_cast<int>(answer.answer.status),
-               answer.answer.content_type, answer.answer.body},
-              {}};
-    case ClaimDecision::kRefused:
-      break;
-  }
-  return {ClaimVerdict::kRefused, {}, Error(answer.error, "idempotency claim")};
-}
-
 }  // namespace
 
 class Node::Impl {
@@ -393,24 +372,7 @@
   }
 
   std::string StatusJson() const {
-    const LocalStatus status = MakeStatus();
-    json members_json = json::array();
-    for (const Member& member : members()) {
-      members_json.push_back({{"instance", member.id.value()},
-                              {"failure_domain", member.failure_domain.value()},
-                              {"state", ToName(member.state)},
-                              {"ready", member.ready},
-                              {"config_version", member.config_version},
-                              {"open_requests", member.open_requests}});
-    }
-    return json{{"instance", settings_.instance.value()},
-                {"failure_domain", settings_.failure_domain.value()},
-                {"draining", draining_.load()},
-                {"ready", status.ready},
-                {"config_version", status.config_version},
-                {"open_requests", status.open_requests},
-                {"members", members_json}}
-        .dump();
+    return NodeStatusJson(settings_, MakeStatus(), draining_, members());
   }
 
   Result<std::string> Explain(const RequestId& id) const {
@@ -418,11 +380,7 @@
     if (!record) {
       return Error(ErrorKind::kUnknownRequest, id.value());
     }
-    return json{{"request", id.value()},
-                {"state", ToName(record->state())},
-                {"tokens", record->tokens().size()},
-                {"decision", dispatcher_.Explain(id).value_or("")}}
-        .dump();
+    return RequestReportJson(*record, dispatcher_.Explain(id).value_or(""));
   }
 
   const NodeSettings settings_;
--- a/modules/qh_node/qh_node.h
+++ b/modules/qh_node/qh_node.h
@@ -28,10 +28,12 @@
 #include "qh_node/control/membership_driver.h"
 #include "qh_node/control/config_driver.h"
 #include "qh_node/control/claim_driver.h"
+#include "qh_node/control/claim_conversion.h"
 #include "qh_node/control/instance_watcher.h"
 #include "qh_node/control/demand_driver.h"
 #include "qh_node/control/admin_server.h"
 #include "qh_node/node.h"
+#include "qh_node/control/node_report.h"
 // clang-format on
 
 #endif  // QH_NODE_QH_NODE_H_
--- a/tests/qh_gateway/endless_bytes_test.cpp
+++ b/tests/qh_gateway/endless_bytes_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "qh_gateway/forwarding/answer_serialization.h"
+#include "tests/fakes/endless_framing.h"
 #include "tests/qh_gateway/gateway_fixture.h"
 
 namespace qh {
@@ -12,22 +13,6 @@
 using Then = ScriptedReply::Then;
 using std::chrono::milliseconds;
 
-// Where bytes come without end, after the size line of a chunk was due.
-struct Endless {
-  const char* name;
-  std::string begin;
-  std::string more;
-};
-
-std::vector<Endless> EndlessForms() {
-  return {{"a size line without an end", "", "x"},
-          {"one endless extension", "5;a=", "x"},
-          {"many extensions", "5", ";a=b;c=d"},
-          {"zeros before the size", "", "0"},
-          {"one trailer", "0\r\nA: ", "x"},
-          {"many trailers", "0\r\n", "A: b\r\n"}};
-}
-
 bool Has(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -50,7 +35,7 @@
 // took all other requests with it.
 TEST_CASE_METHOD(GatewayFixture,
                  "a server that frames a body without end is cut off") {
-  const auto endless = GENERATE(from_range(EndlessForms()));
+  const auto endless = GENERATE(from_range(EndlessFramings()));
   CAPTURE(endless.name);
   auto& server = AddServer("a", "chat", [&](size_t, const HttpHead&) {
     return ScriptedReply{.bytes = StreamHead() + Events(1, 2) + endless.begin,
@@ -71,7 +56,7 @@
 
 // The same stream goes on at another server.
 TEST_CASE_METHOD(GatewayFixture, "a stream goes on after framing without end") {
-  const auto endless = GENERATE(from_range(EndlessForms()));
+  const auto endless = GENERATE(from_range(EndlessFramings()));
   CAPTURE(endless.name);
   AddServer("a", "chat", [&](size_t, const HttpHead&) {
     return ScriptedReply{.bytes = StreamHead() + Events(1, 2) + endless.begin,
@@ -91,7 +76,7 @@
 // first.
 TEST_CASE_METHOD(GatewayFixture,
                  "a caller that frames a body without end is refused") {
-  const auto endless = GENERATE(from_range(EndlessForms()));
+  const auto endless = GENERATE(from_range(EndlessFramings()));
   CAPTURE(endless.name);
   auto& server = AddServer("a", "plain", [](size_t, const HttpHead&) {
     return ScriptedReply{.bytes = StampedAnswer(200, "ok")};
@@ -99,10 +84,7 @@
   ScriptedCaller& caller =
       SendRequest("POST", "/unsafe/x", "r1", "Transfer-Encoding: chunked\r\n");
   caller.Send("5\r\nhello\r\n" + endless.begin);
-  std::string more;
-  while (more.size() < 16'000) {
-    more += endless.more;
-  }
+  const std::string more = Repeated(endless.more, 16'000);
   size_t sent = 0;
   while (caller.received().empty() && sent < (size_t{2} << 20U)) {
     caller.Send(more);
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -8,6 +8,7 @@
 #include <system_error>
 
 #include "qh_gateway/forwarding/answer_serialization.h"
+#include "tests/fakes/endless_framing.h"
 
 namespace qh {
 namespace {
@@ -54,11 +55,7 @@
     const bool chunked = reply.bytes.find("chunked") != std::string::npos;
     return chunked ? EncodeChunk(plain, 1) : plain;
   }
-  std::string flood;
-  while (flood.size() < kFloodBytes) {
-    flood += reply.flood;
-  }
-  return flood;
+  return Repeated(reply.flood, kFloodBytes);
 }
 
 // Attaches a packet filter that drops every segment received by the socket, or
--- a/tests/qh_gateway/leader_tasks_test.cpp
+++ b/tests/qh_gateway/leader_tasks_test.cpp
@@ -277,7 +277,9 @@
   REQUIRE(TickUntil([&] { return busy_windows >= 3; }));
   const int64_t last_before = reports.rbegin()->first;
   store.RestoreEmpty();
-  store.Put("/objects/store-epochs", "epoch-2", R"({"noticed_ms":"soon"})");
+  const auto noticed = GENERATE(R"("soon")", "-1", "9223372036854775807");
+  store.Put("/objects/store-epochs", "epoch-2",
+            std::string(R"({"noticed_ms":)") + noticed + "}");
   RestartAll("second");
   REQUIRE(TickLaterUntilAfter(last_before + 4));
   CheckNoWindowHasTwoCounts();
--- a/tests/qh_net/http_parser_test.cpp
+++ b/tests/qh_net/http_parser_test.cpp
@@ -4,7 +4,8 @@
 #include "qh_net/http_parser.h"
 
 #include <catch2/catch.hpp>
-#include <vector>
+
+#include "tests/fakes/endless_framing.h"
 
 namespace qh {
 namespace {
@@ -13,26 +14,6 @@
   return {MessageKind::kRequest, limits};
 }
 
-// Ways to frame a body with bytes that never end.
-struct EndlessFraming {
-  const char* name;
-  std::string begin;
-  // Comes again and again.
-  std::string more;
-};
-
-std::vector<EndlessFraming> EndlessFramings() {
-  const std::string many(1'000, 'x');
-  return {{"a size line without an end", "", many},
-          {"one endless extension", "5;a=", many},
-          {"many extensions", "5", ";a=b;c=d"},
-          {"zeros before the size", "", std::string(1'000, '0')},
-          {"one trailer", "0\r\nA: ", many},
-          {"many trailers", "0\r\n", "A: b\r\n"},
-          {"an extension at every chunk", "",
-           "1;a=" + std::string(60, 'x') + "\r\ny\r\n"}};
-}
-
 constexpr std::string_view kPost =
     "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello";
 
@@ -110,9 +91,10 @@
   parser.TakeBody();
   Result<void> fed = parser.Feed(endless.begin);
   size_t bytes = 0;
+  const std::string more = Repeated(endless.more, 1'000);
   while (fed && bytes < 100 * kHeaderBytes) {
-    fed = parser.Feed(endless.more);
-    bytes += endless.more.size();
+    fed = parser.Feed(more);
+    bytes += more.size();
     CHECK(parser.held_bytes() < 3 * kHeaderBytes);
   }
   REQUIRE_FALSE(fed);
