A node that stopped to follow the store learns from peers that an outage is over

It made no call any more, so that the outage never ended for it, and it kept each server whose registration was removed as one that may come back (lapsed), for 13 to 25 s; its peers dropped them at once. What it had of the list was complete and confirmed.

A recovery that a peer observed after this node's first failure now ends the outage here too, after the usual grace; the node's own first answer later is not taken for a new end, which its peers would have heard and acted on.

--- a/modules/qh_gateway/decisions/store_reachability.cpp
+++ b/modules/qh_gateway/decisions/store_reachability.cpp
@@ -11,11 +11,17 @@
   return ago ? std::optional(now - *ago) : std::nullopt;
 }
 
+// Whether servers may still be registering again after an outage.
+bool IsInGrace(TimePoint recovered, TimePoint now) {
+  return now < recovered + StoreReachability::kReregistrationGrace;
+}
+
 }  // namespace
 
 void StoreReachability::OnAnswer(TimePoint now) {
   if (is_unreachable() && !PeerWasAnswered(failing_since_)) {
-    recovered_ = now;
+    // This node may have stopped to ask long before the outage ended.
+    recovered_ = PeerRecovery(failing_since_).value_or(now);
   }
   failures_ = 0;
   answered_ = now;
@@ -46,22 +52,34 @@
   });
 }
 
-std::optional<TimePoint> StoreReachability::LastRecovery() const {
-  std::optional<TimePoint> last = recovered_;
+std::optional<TimePoint> StoreReachability::PeerRecovery(
+    TimePoint since) const {
+  std::optional<TimePoint> last;
   for (const auto& [node, peer] : peers_) {
-    if (peer.recovered && (!last || *peer.recovered > *last)) {
+    if (peer.recovered && *peer.recovered > last.value_or(since)) {
       last = peer.recovered;
     }
   }
   return last;
 }
 
+std::optional<TimePoint> StoreReachability::LastRecovery() const {
+  const auto peer = PeerRecovery(recovered_.value_or(TimePoint::min()));
+  return peer ? peer : recovered_;
+}
+
 bool StoreReachability::KeepsMissingServers(TimePoint now) const {
-  if (is_unreachable()) {
-    return !PeerWasAnswered(failing_since_);
+  if (is_unreachable() && PeerWasAnswered(failing_since_)) {
+    return false;
+  }
+  if (!is_unreachable()) {
+    const auto recovered = LastRecovery();
+    return recovered && IsInGrace(*recovered, now);
   }
-  const auto recovered = LastRecovery();
-  return recovered && now < *recovered + kReregistrationGrace;
+  // While this node's calls fail, or after it has stopped to make any, only a
+  // peer can tell that the outage is over.
+  const auto recovered = PeerRecovery(failing_since_);
+  return !recovered || IsInGrace(*recovered, now);
 }
 
 StoreReachabilityReport StoreReachability::Report(TimePoint now) const {
--- a/modules/qh_gateway/decisions/store_reachability.h
+++ b/modules/qh_gateway/decisions/store_reachability.h
@@ -51,7 +51,8 @@
   // When the store last answered this node; nullopt if it never did.
   const std::optional<TimePoint>& answered() const { return answered_; }
   // Whether servers whose registration is missing at `now` are to be kept:
-  // during an outage of the store and the grace period after it.
+  // during an outage of the store and the grace period after it. Peers tell of
+  // its end too, as this node may no longer call the store.
   bool KeepsMissingServers(TimePoint now) const;
   // Returns this node's report for its peers.
   StoreReachabilityReport Report(TimePoint now) const;
@@ -65,6 +66,8 @@
   // Whether the store answered a peer after `since` and that peer has observed
   // no outage since then. If so, the store had no outage.
   bool PeerWasAnswered(TimePoint since) const;
+  // End of the last outage that a peer observed, if that is after `since`.
+  std::optional<TimePoint> PeerRecovery(TimePoint since) const;
   // End of the last outage that this node or a peer observed.
   std::optional<TimePoint> LastRecovery() const;
 
--- a/tests/qh_gateway/server_directory_test.cpp
+++ b/tests/qh_gateway/server_directory_test.cpp
@@ -121,6 +121,30 @@
   CHECK(store.KeepsMissingServers(kStart + seconds(8)));
 }
 
+// Guards against requests to servers that left (DRAIN): a node that stopped to
+// follow the store during an outage asks it no more, and took the outage for
+// one that goes on. Seen on rsa-kursnetz-grown scale-2, seed 254512542681.
+TEST_CASE("a node that no longer asks learns of an outage's end from peers") {
+  StoreReachability store;
+  store.OnAnswer(kStart);
+  store.OnFailure(kStart + seconds(1));
+  store.OnFailure(kStart + seconds(2));
+  store.OnPeer("peer", {.answered_ago = seconds(3)}, kStart + seconds(3));
+  CHECK(store.KeepsMissingServers(kStart + seconds(3)));
+  const TimePoint recovered = kStart + seconds(5);
+  store.OnPeer("peer",
+               {.answered_ago = seconds(0), .recovered_ago = seconds(1)},
+               recovered + seconds(1));
+  CHECK(store.KeepsMissingServers(recovered + seconds(2)));
+  CHECK_FALSE(store.KeepsMissingServers(
+      recovered + StoreReachability::kReregistrationGrace));
+  // The first answer after that is no end of an outage either.
+  const TimePoint answered = recovered + seconds(30);
+  store.OnAnswer(answered);
+  CHECK_FALSE(store.KeepsMissingServers(answered));
+  CHECK(store.Report(answered).recovered_ago == seconds(30));
+}
+
 TEST_CASE("the store is not unreachable after one failed call") {
   StoreReachability store;
   store.OnAnswer(kStart);
