Gateway decisions: a folder for each subject

decisions/ held 60 files in one folder. They now lie in admission, capacity, crash, limits, nodes, placement, servers, store, streams and usage. Paths and include guards change, no code does.

--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -20,7 +20,7 @@
 #include "qh_gateway/control/peer_state_fetcher.h"
 #include "qh_gateway/control/store_watcher.h"
 #include "qh_gateway/control/verdict_archive.h"
-#include "qh_gateway/decisions/store_mirror.h"
+#include "qh_gateway/decisions/store/store_mirror.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 #include "qh_net/http_service.h"
 
--- a/modules/qh_gateway/control/leader_tasks.h
+++ b/modules/qh_gateway/control/leader_tasks.h
@@ -21,7 +21,7 @@
 
 #include "qh_gateway/control/store_connection.h"
 #include "qh_gateway/control/store_epoch_record.h"
-#include "qh_gateway/decisions/capacity_planner.h"
+#include "qh_gateway/decisions/capacity/capacity_planner.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 #include "qh_net/http_client.h"
 #include "qh_platform/lease/lease.h"
--- a/modules/qh_gateway/control/peer_digest.h
+++ b/modules/qh_gateway/control/peer_digest.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "qh_gateway/control/peer_heartbeat.h"
-#include "qh_gateway/decisions/cumulative_totals.h"
+#include "qh_gateway/decisions/limits/cumulative_totals.h"
 
 namespace qh {
 
--- a/modules/qh_gateway/control/peer_exchange.h
+++ b/modules/qh_gateway/control/peer_exchange.h
@@ -17,8 +17,8 @@
 #include "qh_gateway/control/leader_tasks.h"
 #include "qh_gateway/control/peer_digest.h"
 #include "qh_gateway/control/peer_heartbeat.h"
-#include "qh_gateway/decisions/node_table.h"
-#include "qh_gateway/decisions/relay_ranking.h"
+#include "qh_gateway/decisions/nodes/node_table.h"
+#include "qh_gateway/decisions/nodes/relay_ranking.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 
 namespace qh {
--- a/modules/qh_gateway/control/store_connection.h
+++ b/modules/qh_gateway/control/store_connection.h
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <memory>
 
-#include "qh_gateway/decisions/store_epoch.h"
+#include "qh_gateway/decisions/store/store_epoch.h"
 #include "qh_gateway/model/stored_object.h"
 #include "qh_net/http_client.h"
 
--- a/modules/qh_gateway/control/verdict_archive.h
+++ b/modules/qh_gateway/control/verdict_archive.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "qh_gateway/control/store_connection.h"
-#include "qh_gateway/decisions/stored_verdicts.h"
+#include "qh_gateway/decisions/crash/stored_verdicts.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 
 namespace qh {
--- a/modules/qh_gateway/decisions/server_urgency.cpp
+++ b/modules/qh_gateway/decisions/admission/server_urgency.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/server_urgency.h"
+#include "qh_gateway/decisions/admission/server_urgency.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/server_urgency.h
+++ b/modules/qh_gateway/decisions/admission/server_urgency.h
@@ -2,8 +2,8 @@
 // requests that don't fit are refused, and the less urgent ones first: they
 // yield for some time after a more urgent one was refused.
 
-#ifndef QH_GATEWAY_DECISIONS_SERVER_URGENCY_H_
-#define QH_GATEWAY_DECISIONS_SERVER_URGENCY_H_
+#ifndef QH_GATEWAY_DECISIONS_ADMISSION_SERVER_URGENCY_H_
+#define QH_GATEWAY_DECISIONS_ADMISSION_SERVER_URGENCY_H_
 
 #include <map>
 #include <optional>
@@ -35,4 +35,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_SERVER_URGENCY_H_
+#endif  // QH_GATEWAY_DECISIONS_ADMISSION_SERVER_URGENCY_H_
--- a/modules/qh_gateway/decisions/capacity_planner.cpp
+++ b/modules/qh_gateway/decisions/capacity/capacity_planner.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/capacity_planner.h"
+#include "qh_gateway/decisions/capacity/capacity_planner.h"
 
 #include <algorithm>
 #include <cmath>
--- a/modules/qh_gateway/decisions/capacity_planner.h
+++ b/modules/qh_gateway/decisions/capacity/capacity_planner.h
@@ -4,8 +4,8 @@
 // when the busiest domains are lost. A few on-demand servers always run, as
 // they can't be reclaimed.
 
-#ifndef QH_GATEWAY_DECISIONS_CAPACITY_PLANNER_H_
-#define QH_GATEWAY_DECISIONS_CAPACITY_PLANNER_H_
+#ifndef QH_GATEWAY_DECISIONS_CAPACITY_CAPACITY_PLANNER_H_
+#define QH_GATEWAY_DECISIONS_CAPACITY_CAPACITY_PLANNER_H_
 
 #include <cstdint>
 #include <map>
@@ -155,4 +155,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_CAPACITY_PLANNER_H_
+#endif  // QH_GATEWAY_DECISIONS_CAPACITY_CAPACITY_PLANNER_H_
--- a/modules/qh_gateway/decisions/crash_tracker.cpp
+++ b/modules/qh_gateway/decisions/crash/crash_tracker.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/crash_tracker.h"
+#include "qh_gateway/decisions/crash/crash_tracker.h"
 
 #include <algorithm>
 #include <iterator>
--- a/modules/qh_gateway/decisions/crash_tracker.h
+++ b/modules/qh_gateway/decisions/crash/crash_tracker.h
@@ -14,8 +14,8 @@
 // that crashes seen by different nodes add up and that a node which starts
 // later knows what is blocked.
 
-#ifndef QH_GATEWAY_DECISIONS_CRASH_TRACKER_H_
-#define QH_GATEWAY_DECISIONS_CRASH_TRACKER_H_
+#ifndef QH_GATEWAY_DECISIONS_CRASH_CRASH_TRACKER_H_
+#define QH_GATEWAY_DECISIONS_CRASH_CRASH_TRACKER_H_
 
 #include <cstdint>
 #include <functional>
@@ -27,9 +27,9 @@
 
 #include "qh_core/text/enum_table.h"
 #include "qh_core/time/time.h"
-#include "qh_gateway/decisions/crash_verdicts.h"
-#include "qh_gateway/decisions/request_features.h"
-#include "qh_gateway/decisions/sound_answers.h"
+#include "qh_gateway/decisions/crash/crash_verdicts.h"
+#include "qh_gateway/decisions/crash/request_features.h"
+#include "qh_gateway/decisions/crash/sound_answers.h"
 
 namespace qh {
 
@@ -230,4 +230,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_CRASH_TRACKER_H_
+#endif  // QH_GATEWAY_DECISIONS_CRASH_CRASH_TRACKER_H_
--- a/modules/qh_gateway/decisions/crash_verdicts.cpp
+++ b/modules/qh_gateway/decisions/crash/crash_verdicts.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/crash_verdicts.h"
+#include "qh_gateway/decisions/crash/crash_verdicts.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/crash_verdicts.h
+++ b/modules/qh_gateway/decisions/crash/crash_verdicts.h
@@ -3,8 +3,8 @@
 // refused for it. Now and then one request is let through as a trial, because a
 // verdict may be wrong or its cause may have been mended.
 
-#ifndef QH_GATEWAY_DECISIONS_CRASH_VERDICTS_H_
-#define QH_GATEWAY_DECISIONS_CRASH_VERDICTS_H_
+#ifndef QH_GATEWAY_DECISIONS_CRASH_CRASH_VERDICTS_H_
+#define QH_GATEWAY_DECISIONS_CRASH_CRASH_VERDICTS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "qh_core/time/time.h"
-#include "qh_gateway/decisions/request_features.h"
+#include "qh_gateway/decisions/crash/request_features.h"
 
 namespace qh {
 
@@ -93,4 +93,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_CRASH_VERDICTS_H_
+#endif  // QH_GATEWAY_DECISIONS_CRASH_CRASH_VERDICTS_H_
--- a/modules/qh_gateway/decisions/request_features.cpp
+++ b/modules/qh_gateway/decisions/crash/request_features.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/request_features.h"
+#include "qh_gateway/decisions/crash/request_features.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/request_features.h
+++ b/modules/qh_gateway/decisions/crash/request_features.h
@@ -1,8 +1,8 @@
 // What a request has in common with others: its whole content and the parts of
 // its prompt. A server's crash is attributed to features (see CrashTracker).
 
-#ifndef QH_GATEWAY_DECISIONS_REQUEST_FEATURES_H_
-#define QH_GATEWAY_DECISIONS_REQUEST_FEATURES_H_
+#ifndef QH_GATEWAY_DECISIONS_CRASH_REQUEST_FEATURES_H_
+#define QH_GATEWAY_DECISIONS_CRASH_REQUEST_FEATURES_H_
 
 #include <cstdint>
 #include <string>
@@ -46,4 +46,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_REQUEST_FEATURES_H_
+#endif  // QH_GATEWAY_DECISIONS_CRASH_REQUEST_FEATURES_H_
--- a/modules/qh_gateway/decisions/sound_answers.cpp
+++ b/modules/qh_gateway/decisions/crash/sound_answers.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/sound_answers.h"
+#include "qh_gateway/decisions/crash/sound_answers.h"
 
 #include <algorithm>
 #include <utility>
--- a/modules/qh_gateway/decisions/sound_answers.h
+++ b/modules/qh_gateway/decisions/crash/sound_answers.h
@@ -2,15 +2,15 @@
 // it. Memory is bounded: of very many parts, those without an answer for
 // longest are forgotten.
 
-#ifndef QH_GATEWAY_DECISIONS_SOUND_ANSWERS_H_
-#define QH_GATEWAY_DECISIONS_SOUND_ANSWERS_H_
+#ifndef QH_GATEWAY_DECISIONS_CRASH_SOUND_ANSWERS_H_
+#define QH_GATEWAY_DECISIONS_CRASH_SOUND_ANSWERS_H_
 
 #include <cstddef>
 #include <optional>
 #include <unordered_map>
 
 #include "qh_core/time/time.h"
-#include "qh_gateway/decisions/request_features.h"
+#include "qh_gateway/decisions/crash/request_features.h"
 
 namespace qh {
 
@@ -37,4 +37,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_SOUND_ANSWERS_H_
+#endif  // QH_GATEWAY_DECISIONS_CRASH_SOUND_ANSWERS_H_
--- a/modules/qh_gateway/decisions/stored_verdicts.cpp
+++ b/modules/qh_gateway/decisions/crash/stored_verdicts.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/stored_verdicts.h"
+#include "qh_gateway/decisions/crash/stored_verdicts.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/stored_verdicts.h
+++ b/modules/qh_gateway/decisions/crash/stored_verdicts.h
@@ -6,8 +6,8 @@
 // leader is given time to do so first. The leader alone refreshes and removes
 // them.
 
-#ifndef QH_GATEWAY_DECISIONS_STORED_VERDICTS_H_
-#define QH_GATEWAY_DECISIONS_STORED_VERDICTS_H_
+#ifndef QH_GATEWAY_DECISIONS_CRASH_STORED_VERDICTS_H_
+#define QH_GATEWAY_DECISIONS_CRASH_STORED_VERDICTS_H_
 
 #include <map>
 #include <optional>
@@ -16,7 +16,7 @@
 
 #include "qh_core/text/enum_table.h"
 #include "qh_core/time/time.h"
-#include "qh_gateway/decisions/crash_verdicts.h"
+#include "qh_gateway/decisions/crash/crash_verdicts.h"
 
 namespace qh {
 
@@ -89,4 +89,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_STORED_VERDICTS_H_
+#endif  // QH_GATEWAY_DECISIONS_CRASH_STORED_VERDICTS_H_
--- a/modules/qh_gateway/decisions/cumulative_totals.cpp
+++ b/modules/qh_gateway/decisions/limits/cumulative_totals.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/cumulative_totals.h"
+#include "qh_gateway/decisions/limits/cumulative_totals.h"
 
 namespace qh {
 
--- a/modules/qh_gateway/decisions/cumulative_totals.h
+++ b/modules/qh_gateway/decisions/limits/cumulative_totals.h
@@ -2,8 +2,8 @@
 // relay adds the totals of many processes to one total that only rises, also
 // when a process restarts or another relay takes over a failure domain.
 
-#ifndef QH_GATEWAY_DECISIONS_CUMULATIVE_TOTALS_H_
-#define QH_GATEWAY_DECISIONS_CUMULATIVE_TOTALS_H_
+#ifndef QH_GATEWAY_DECISIONS_LIMITS_CUMULATIVE_TOTALS_H_
+#define QH_GATEWAY_DECISIONS_LIMITS_CUMULATIVE_TOTALS_H_
 
 #include <map>
 #include <string>
@@ -44,4 +44,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_CUMULATIVE_TOTALS_H_
+#endif  // QH_GATEWAY_DECISIONS_LIMITS_CUMULATIVE_TOTALS_H_
--- a/modules/qh_gateway/decisions/server_rate_limits.cpp
+++ b/modules/qh_gateway/decisions/limits/server_rate_limits.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/server_rate_limits.h"
+#include "qh_gateway/decisions/limits/server_rate_limits.h"
 
 #include <algorithm>
 #include <cmath>
--- a/modules/qh_gateway/decisions/server_rate_limits.h
+++ b/modules/qh_gateway/decisions/limits/server_rate_limits.h
@@ -18,8 +18,8 @@
 //
 // The class does no I/O and reads no clock.
 
-#ifndef QH_GATEWAY_DECISIONS_SERVER_RATE_LIMITS_H_
-#define QH_GATEWAY_DECISIONS_SERVER_RATE_LIMITS_H_
+#ifndef QH_GATEWAY_DECISIONS_LIMITS_SERVER_RATE_LIMITS_H_
+#define QH_GATEWAY_DECISIONS_LIMITS_SERVER_RATE_LIMITS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -30,7 +30,7 @@
 
 #include "qh_core/ids/ids.h"
 #include "qh_core/time/time.h"
-#include "qh_gateway/decisions/server_departures.h"
+#include "qh_gateway/decisions/servers/server_departures.h"
 
 namespace qh {
 
@@ -176,4 +176,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_SERVER_RATE_LIMITS_H_
+#endif  // QH_GATEWAY_DECISIONS_LIMITS_SERVER_RATE_LIMITS_H_
--- a/modules/qh_gateway/decisions/service_retry_budget.cpp
+++ b/modules/qh_gateway/decisions/limits/service_retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/service_retry_budget.h"
+#include "qh_gateway/decisions/limits/service_retry_budget.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/service_retry_budget.h
+++ b/modules/qh_gateway/decisions/limits/service_retry_budget.h
@@ -2,8 +2,8 @@
 // within a sliding window, over the whole deployment. Each node enforces its
 // own part of the budget without talking to the others.
 
-#ifndef QH_GATEWAY_DECISIONS_SERVICE_RETRY_BUDGET_H_
-#define QH_GATEWAY_DECISIONS_SERVICE_RETRY_BUDGET_H_
+#ifndef QH_GATEWAY_DECISIONS_LIMITS_SERVICE_RETRY_BUDGET_H_
+#define QH_GATEWAY_DECISIONS_LIMITS_SERVICE_RETRY_BUDGET_H_
 
 #include <cstdint>
 #include <deque>
@@ -51,4 +51,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_SERVICE_RETRY_BUDGET_H_
+#endif  // QH_GATEWAY_DECISIONS_LIMITS_SERVICE_RETRY_BUDGET_H_
--- a/modules/qh_gateway/decisions/sliding_window_sum.cpp
+++ b/modules/qh_gateway/decisions/limits/sliding_window_sum.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/sliding_window_sum.h"
+#include "qh_gateway/decisions/limits/sliding_window_sum.h"
 
 #include <algorithm>
 #include <cassert>
--- a/modules/qh_gateway/decisions/sliding_window_sum.h
+++ b/modules/qh_gateway/decisions/limits/sliding_window_sum.h
@@ -1,8 +1,8 @@
 // Sum of the units that were added within a sliding window. Units are kept per
 // time slot, so memory is constant and the window's length is exact to a slot.
 
-#ifndef QH_GATEWAY_DECISIONS_SLIDING_WINDOW_SUM_H_
-#define QH_GATEWAY_DECISIONS_SLIDING_WINDOW_SUM_H_
+#ifndef QH_GATEWAY_DECISIONS_LIMITS_SLIDING_WINDOW_SUM_H_
+#define QH_GATEWAY_DECISIONS_LIMITS_SLIDING_WINDOW_SUM_H_
 
 #include <array>
 #include <cstddef>
@@ -45,4 +45,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_SLIDING_WINDOW_SUM_H_
+#endif  // QH_GATEWAY_DECISIONS_LIMITS_SLIDING_WINDOW_SUM_H_
--- a/modules/qh_gateway/decisions/team_rate_limiter.cpp
+++ b/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/team_rate_limiter.h"
+#include "qh_gateway/decisions/limits/team_rate_limiter.h"
 
 #include <algorithm>
 #include <limits>
--- a/modules/qh_gateway/decisions/team_rate_limiter.h
+++ b/modules/qh_gateway/decisions/limits/team_rate_limiter.h
@@ -9,8 +9,8 @@
 // paces a team at its limit. Without it a flood would use up the grant at once
 // and leave the team nothing for the rest of the window.
 
-#ifndef QH_GATEWAY_DECISIONS_TEAM_RATE_LIMITER_H_
-#define QH_GATEWAY_DECISIONS_TEAM_RATE_LIMITER_H_
+#ifndef QH_GATEWAY_DECISIONS_LIMITS_TEAM_RATE_LIMITER_H_
+#define QH_GATEWAY_DECISIONS_LIMITS_TEAM_RATE_LIMITER_H_
 
 #include <map>
 #include <optional>
@@ -19,8 +19,8 @@
 
 #include "qh_core/ids/ids.h"
 #include "qh_core/time/time.h"
-#include "qh_gateway/decisions/cumulative_totals.h"
-#include "qh_gateway/decisions/sliding_window_sum.h"
+#include "qh_gateway/decisions/limits/cumulative_totals.h"
+#include "qh_gateway/decisions/limits/sliding_window_sum.h"
 #include "qh_gateway/model/service_config.h"
 
 namespace qh {
@@ -163,4 +163,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_TEAM_RATE_LIMITER_H_
+#endif  // QH_GATEWAY_DECISIONS_LIMITS_TEAM_RATE_LIMITER_H_
--- a/modules/qh_gateway/decisions/deployment_size.cpp
+++ b/modules/qh_gateway/decisions/nodes/deployment_size.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/deployment_size.h"
+#include "qh_gateway/decisions/nodes/deployment_size.h"
 
 namespace qh {
 
--- a/modules/qh_gateway/decisions/deployment_size.h
+++ b/modules/qh_gateway/decisions/nodes/deployment_size.h
@@ -3,8 +3,8 @@
 // them in the store's list only later. Until the list has settled it must not
 // take itself to be alone: each node would then use a whole limit.
 
-#ifndef QH_GATEWAY_DECISIONS_DEPLOYMENT_SIZE_H_
-#define QH_GATEWAY_DECISIONS_DEPLOYMENT_SIZE_H_
+#ifndef QH_GATEWAY_DECISIONS_NODES_DEPLOYMENT_SIZE_H_
+#define QH_GATEWAY_DECISIONS_NODES_DEPLOYMENT_SIZE_H_
 
 #include <cstddef>
 #include <optional>
@@ -40,4 +40,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_DEPLOYMENT_SIZE_H_
+#endif  // QH_GATEWAY_DECISIONS_NODES_DEPLOYMENT_SIZE_H_
--- a/modules/qh_gateway/decisions/node_table.cpp
+++ b/modules/qh_gateway/decisions/nodes/node_table.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/node_table.h"
+#include "qh_gateway/decisions/nodes/node_table.h"
 
 #include <algorithm>
 #include <tuple>
--- a/modules/qh_gateway/decisions/node_table.h
+++ b/modules/qh_gateway/decisions/nodes/node_table.h
@@ -2,8 +2,8 @@
 // unresponsive, and which nodes callers are sent to. Peers send a heartbeat at
 // a regular interval.
 
-#ifndef QH_GATEWAY_DECISIONS_NODE_TABLE_H_
-#define QH_GATEWAY_DECISIONS_NODE_TABLE_H_
+#ifndef QH_GATEWAY_DECISIONS_NODES_NODE_TABLE_H_
+#define QH_GATEWAY_DECISIONS_NODES_NODE_TABLE_H_
 
 #include <functional>
 #include <map>
@@ -148,4 +148,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_NODE_TABLE_H_
+#endif  // QH_GATEWAY_DECISIONS_NODES_NODE_TABLE_H_
--- a/modules/qh_gateway/decisions/relay_ranking.cpp
+++ b/modules/qh_gateway/decisions/nodes/relay_ranking.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/relay_ranking.h"
+#include "qh_gateway/decisions/nodes/relay_ranking.h"
 
 #include <algorithm>
 #include <tuple>
--- a/modules/qh_gateway/decisions/relay_ranking.h
+++ b/modules/qh_gateway/decisions/nodes/relay_ranking.h
@@ -9,8 +9,8 @@
 // nothing is agreed upon. When relays fall silent, the next ones act as well
 // until enough are heard again.
 
-#ifndef QH_GATEWAY_DECISIONS_RELAY_RANKING_H_
-#define QH_GATEWAY_DECISIONS_RELAY_RANKING_H_
+#ifndef QH_GATEWAY_DECISIONS_NODES_RELAY_RANKING_H_
+#define QH_GATEWAY_DECISIONS_NODES_RELAY_RANKING_H_
 
 #include <cstddef>
 #include <map>
@@ -114,4 +114,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_RELAY_RANKING_H_
+#endif  // QH_GATEWAY_DECISIONS_NODES_RELAY_RANKING_H_
--- a/modules/qh_gateway/decisions/wall_clock.cpp
+++ b/modules/qh_gateway/decisions/nodes/wall_clock.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/wall_clock.h"
+#include "qh_gateway/decisions/nodes/wall_clock.h"
 
 #include <algorithm>
 #include <vector>
--- a/modules/qh_gateway/decisions/wall_clock.h
+++ b/modules/qh_gateway/decisions/nodes/wall_clock.h
@@ -1,8 +1,8 @@
 // Wall-clock time that the nodes agree on: the median of their clocks, so that
 // a clock that steps on a minority of them has no effect.
 
-#ifndef QH_GATEWAY_DECISIONS_WALL_CLOCK_H_
-#define QH_GATEWAY_DECISIONS_WALL_CLOCK_H_
+#ifndef QH_GATEWAY_DECISIONS_NODES_WALL_CLOCK_H_
+#define QH_GATEWAY_DECISIONS_NODES_WALL_CLOCK_H_
 
 #include <map>
 #include <string>
@@ -38,4 +38,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_WALL_CLOCK_H_
+#endif  // QH_GATEWAY_DECISIONS_NODES_WALL_CLOCK_H_
--- a/modules/qh_gateway/decisions/outlier_detector.cpp
+++ b/modules/qh_gateway/decisions/placement/outlier_detector.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/outlier_detector.h"
+#include "qh_gateway/decisions/placement/outlier_detector.h"
 
 #include <algorithm>
 #include <cmath>
--- a/modules/qh_gateway/decisions/outlier_detector.h
+++ b/modules/qh_gateway/decisions/placement/outlier_detector.h
@@ -4,8 +4,8 @@
 // share, so that a server that fails more requests than the others of its
 // service gets fewer of them.
 
-#ifndef QH_GATEWAY_DECISIONS_OUTLIER_DETECTOR_H_
-#define QH_GATEWAY_DECISIONS_OUTLIER_DETECTOR_H_
+#ifndef QH_GATEWAY_DECISIONS_PLACEMENT_OUTLIER_DETECTOR_H_
+#define QH_GATEWAY_DECISIONS_PLACEMENT_OUTLIER_DETECTOR_H_
 
 #include <cstdint>
 #include <map>
@@ -91,4 +91,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_OUTLIER_DETECTOR_H_
+#endif  // QH_GATEWAY_DECISIONS_PLACEMENT_OUTLIER_DETECTOR_H_
--- a/modules/qh_gateway/decisions/prefix_cache_estimate.cpp
+++ b/modules/qh_gateway/decisions/placement/prefix_cache_estimate.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/prefix_cache_estimate.h"
+#include "qh_gateway/decisions/placement/prefix_cache_estimate.h"
 
 #include "qh_core/hash/hash.h"
 
--- a/modules/qh_gateway/decisions/prefix_cache_estimate.h
+++ b/modules/qh_gateway/decisions/placement/prefix_cache_estimate.h
@@ -1,8 +1,8 @@
 // Estimates which prompt prefixes each engine has in its cache, from the
 // requests that this node sent to it.
 
-#ifndef QH_GATEWAY_DECISIONS_PREFIX_CACHE_ESTIMATE_H_
-#define QH_GATEWAY_DECISIONS_PREFIX_CACHE_ESTIMATE_H_
+#ifndef QH_GATEWAY_DECISIONS_PLACEMENT_PREFIX_CACHE_ESTIMATE_H_
+#define QH_GATEWAY_DECISIONS_PLACEMENT_PREFIX_CACHE_ESTIMATE_H_
 
 #include <cstdint>
 #include <deque>
@@ -49,4 +49,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_PREFIX_CACHE_ESTIMATE_H_
+#endif  // QH_GATEWAY_DECISIONS_PLACEMENT_PREFIX_CACHE_ESTIMATE_H_
--- a/modules/qh_gateway/decisions/server_load.cpp
+++ b/modules/qh_gateway/decisions/placement/server_load.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/server_load.h"
+#include "qh_gateway/decisions/placement/server_load.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/server_load.h
+++ b/modules/qh_gateway/decisions/placement/server_load.h
@@ -1,8 +1,8 @@
 // Outstanding work of all gateway nodes at each server: this node's exactly,
 // its peers' as of their last heartbeat.
 
-#ifndef QH_GATEWAY_DECISIONS_SERVER_LOAD_H_
-#define QH_GATEWAY_DECISIONS_SERVER_LOAD_H_
+#ifndef QH_GATEWAY_DECISIONS_PLACEMENT_SERVER_LOAD_H_
+#define QH_GATEWAY_DECISIONS_PLACEMENT_SERVER_LOAD_H_
 
 #include <cstdint>
 #include <map>
@@ -71,4 +71,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_SERVER_LOAD_H_
+#endif  // QH_GATEWAY_DECISIONS_PLACEMENT_SERVER_LOAD_H_
--- a/modules/qh_gateway/decisions/server_pauses.cpp
+++ b/modules/qh_gateway/decisions/placement/server_pauses.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/server_pauses.h"
+#include "qh_gateway/decisions/placement/server_pauses.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/server_pauses.h
+++ b/modules/qh_gateway/decisions/placement/server_pauses.h
@@ -3,8 +3,8 @@
 // requests that it sends itself. What its peers were told counts as a hint
 // only, because each node is told by itself.
 
-#ifndef QH_GATEWAY_DECISIONS_SERVER_PAUSES_H_
-#define QH_GATEWAY_DECISIONS_SERVER_PAUSES_H_
+#ifndef QH_GATEWAY_DECISIONS_PLACEMENT_SERVER_PAUSES_H_
+#define QH_GATEWAY_DECISIONS_PLACEMENT_SERVER_PAUSES_H_
 
 #include <map>
 #include <optional>
@@ -46,4 +46,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_SERVER_PAUSES_H_
+#endif  // QH_GATEWAY_DECISIONS_PLACEMENT_SERVER_PAUSES_H_
--- a/modules/qh_gateway/decisions/server_picker.cpp
+++ b/modules/qh_gateway/decisions/placement/server_picker.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/server_picker.h"
+#include "qh_gateway/decisions/placement/server_picker.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/server_picker.h
+++ b/modules/qh_gateway/decisions/placement/server_picker.h
@@ -13,8 +13,8 @@
 // A request that no server can start in time is refused (admission control).
 // The class does no I/O and reads no clock.
 
-#ifndef QH_GATEWAY_DECISIONS_SERVER_PICKER_H_
-#define QH_GATEWAY_DECISIONS_SERVER_PICKER_H_
+#ifndef QH_GATEWAY_DECISIONS_PLACEMENT_SERVER_PICKER_H_
+#define QH_GATEWAY_DECISIONS_PLACEMENT_SERVER_PICKER_H_
 
 #include <cstdint>
 #include <map>
@@ -26,13 +26,13 @@
 
 #include "qh_core/errors/result.h"
 #include "qh_core/random/rng.h"
-#include "qh_gateway/decisions/outlier_detector.h"
-#include "qh_gateway/decisions/prefix_cache_estimate.h"
-#include "qh_gateway/decisions/server_directory.h"
-#include "qh_gateway/decisions/server_load.h"
-#include "qh_gateway/decisions/server_pauses.h"
-#include "qh_gateway/decisions/server_rate_limits.h"
-#include "qh_gateway/decisions/server_urgency.h"
+#include "qh_gateway/decisions/admission/server_urgency.h"
+#include "qh_gateway/decisions/limits/server_rate_limits.h"
+#include "qh_gateway/decisions/placement/outlier_detector.h"
+#include "qh_gateway/decisions/placement/prefix_cache_estimate.h"
+#include "qh_gateway/decisions/placement/server_load.h"
+#include "qh_gateway/decisions/placement/server_pauses.h"
+#include "qh_gateway/decisions/servers/server_directory.h"
 #include "qh_gateway/model/caller_request.h"
 #include "qh_gateway/model/service_config.h"
 
@@ -204,4 +204,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_SERVER_PICKER_H_
+#endif  // QH_GATEWAY_DECISIONS_PLACEMENT_SERVER_PICKER_H_
--- a/modules/qh_gateway/decisions/server_departures.cpp
+++ b/modules/qh_gateway/decisions/servers/server_departures.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/server_departures.h"
+#include "qh_gateway/decisions/servers/server_departures.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/server_departures.h
+++ b/modules/qh_gateway/decisions/servers/server_departures.h
@@ -2,8 +2,8 @@
 // that no older report brings one back: a store restored from an older copy, a
 // peer's list, or a registration that was written before the announcement.
 
-#ifndef QH_GATEWAY_DECISIONS_SERVER_DEPARTURES_H_
-#define QH_GATEWAY_DECISIONS_SERVER_DEPARTURES_H_
+#ifndef QH_GATEWAY_DECISIONS_SERVERS_SERVER_DEPARTURES_H_
+#define QH_GATEWAY_DECISIONS_SERVERS_SERVER_DEPARTURES_H_
 
 #include <compare>
 #include <cstddef>
@@ -67,4 +67,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_SERVER_DEPARTURES_H_
+#endif  // QH_GATEWAY_DECISIONS_SERVERS_SERVER_DEPARTURES_H_
--- a/modules/qh_gateway/decisions/server_directory.cpp
+++ b/modules/qh_gateway/decisions/servers/server_directory.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/server_directory.h"
+#include "qh_gateway/decisions/servers/server_directory.h"
 
 #include <set>
 
--- a/modules/qh_gateway/decisions/server_directory.h
+++ b/modules/qh_gateway/decisions/servers/server_directory.h
@@ -7,8 +7,8 @@
 // that have left since; these are withheld until their registrations would have
 // expired, and used only if they are still there.
 
-#ifndef QH_GATEWAY_DECISIONS_SERVER_DIRECTORY_H_
-#define QH_GATEWAY_DECISIONS_SERVER_DIRECTORY_H_
+#ifndef QH_GATEWAY_DECISIONS_SERVERS_SERVER_DIRECTORY_H_
+#define QH_GATEWAY_DECISIONS_SERVERS_SERVER_DIRECTORY_H_
 
 #include <functional>
 #include <map>
@@ -19,7 +19,7 @@
 #include "qh_core/ids/ids.h"
 #include "qh_core/text/enum_table.h"
 #include "qh_core/time/time.h"
-#include "qh_gateway/decisions/server_departures.h"
+#include "qh_gateway/decisions/servers/server_departures.h"
 #include "qh_gateway/model/server_record.h"
 
 namespace qh {
@@ -110,4 +110,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_SERVER_DIRECTORY_H_
+#endif  // QH_GATEWAY_DECISIONS_SERVERS_SERVER_DIRECTORY_H_
--- a/modules/qh_gateway/decisions/state_freshness.cpp
+++ b/modules/qh_gateway/decisions/store/state_freshness.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/state_freshness.h"
+#include "qh_gateway/decisions/store/state_freshness.h"
 
 #include <utility>
 
--- a/modules/qh_gateway/decisions/state_freshness.h
+++ b/modules/qh_gateway/decisions/store/state_freshness.h
@@ -3,8 +3,8 @@
 // hanging, so only an answer of the store counts: to this node, or to a peer
 // whose copy is equal.
 
-#ifndef QH_GATEWAY_DECISIONS_STATE_FRESHNESS_H_
-#define QH_GATEWAY_DECISIONS_STATE_FRESHNESS_H_
+#ifndef QH_GATEWAY_DECISIONS_STORE_STATE_FRESHNESS_H_
+#define QH_GATEWAY_DECISIONS_STORE_STATE_FRESHNESS_H_
 
 #include <array>
 #include <cstdint>
@@ -111,4 +111,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_STATE_FRESHNESS_H_
+#endif  // QH_GATEWAY_DECISIONS_STORE_STATE_FRESHNESS_H_
--- a/modules/qh_gateway/decisions/store_epoch.cpp
+++ b/modules/qh_gateway/decisions/store/store_epoch.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/store_epoch.h"
+#include "qh_gateway/decisions/store/store_epoch.h"
 
 namespace qh {
 
--- a/modules/qh_gateway/decisions/store_epoch.h
+++ b/modules/qh_gateway/decisions/store/store_epoch.h
@@ -2,8 +2,8 @@
 // restores in its epoch. Knowledge of an earlier epoch may be about changes
 // that the store has lost, and revisions of two epochs don't compare.
 
-#ifndef QH_GATEWAY_DECISIONS_STORE_EPOCH_H_
-#define QH_GATEWAY_DECISIONS_STORE_EPOCH_H_
+#ifndef QH_GATEWAY_DECISIONS_STORE_STORE_EPOCH_H_
+#define QH_GATEWAY_DECISIONS_STORE_STORE_EPOCH_H_
 
 #include <cstdint>
 #include <functional>
@@ -53,4 +53,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_STORE_EPOCH_H_
+#endif  // QH_GATEWAY_DECISIONS_STORE_STORE_EPOCH_H_
--- a/modules/qh_gateway/decisions/store_mirror.cpp
+++ b/modules/qh_gateway/decisions/store/store_mirror.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/store_mirror.h"
+#include "qh_gateway/decisions/store/store_mirror.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/modules/qh_gateway/decisions/store_mirror.h
+++ b/modules/qh_gateway/decisions/store/store_mirror.h
@@ -7,8 +7,8 @@
 // outdated copy reverted would be lost, as the store's watch does not report
 // them again.
 
-#ifndef QH_GATEWAY_DECISIONS_STORE_MIRROR_H_
-#define QH_GATEWAY_DECISIONS_STORE_MIRROR_H_
+#ifndef QH_GATEWAY_DECISIONS_STORE_STORE_MIRROR_H_
+#define QH_GATEWAY_DECISIONS_STORE_STORE_MIRROR_H_
 
 #include <cstddef>
 #include <deque>
@@ -92,4 +92,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_STORE_MIRROR_H_
+#endif  // QH_GATEWAY_DECISIONS_STORE_STORE_MIRROR_H_
--- a/modules/qh_gateway/decisions/store_reachability.cpp
+++ b/modules/qh_gateway/decisions/store/store_reachability.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/store_reachability.h"
+#include "qh_gateway/decisions/store/store_reachability.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/store_reachability.h
+++ b/modules/qh_gateway/decisions/store/store_reachability.h
@@ -4,8 +4,8 @@
 // partition of this node alone, a missing registration means that the server is
 // gone.
 
-#ifndef QH_GATEWAY_DECISIONS_STORE_REACHABILITY_H_
-#define QH_GATEWAY_DECISIONS_STORE_REACHABILITY_H_
+#ifndef QH_GATEWAY_DECISIONS_STORE_STORE_REACHABILITY_H_
+#define QH_GATEWAY_DECISIONS_STORE_STORE_REACHABILITY_H_
 
 #include <map>
 #include <optional>
@@ -82,4 +82,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_STORE_REACHABILITY_H_
+#endif  // QH_GATEWAY_DECISIONS_STORE_STORE_REACHABILITY_H_
--- a/modules/qh_gateway/decisions/event_splitter.cpp
+++ b/modules/qh_gateway/decisions/streams/event_splitter.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/event_splitter.h"
+#include "qh_gateway/decisions/streams/event_splitter.h"
 
 #include <algorithm>
 #include <charconv>
--- a/modules/qh_gateway/decisions/event_splitter.h
+++ b/modules/qh_gateway/decisions/streams/event_splitter.h
@@ -1,8 +1,8 @@
 // Splits the bytes of an event stream (SSE) into complete events, so that the
 // caller never receives a part of an event when the server's stream breaks.
 
-#ifndef QH_GATEWAY_DECISIONS_EVENT_SPLITTER_H_
-#define QH_GATEWAY_DECISIONS_EVENT_SPLITTER_H_
+#ifndef QH_GATEWAY_DECISIONS_STREAMS_EVENT_SPLITTER_H_
+#define QH_GATEWAY_DECISIONS_STREAMS_EVENT_SPLITTER_H_
 
 #include <cstdint>
 #include <string>
@@ -42,4 +42,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_EVENT_SPLITTER_H_
+#endif  // QH_GATEWAY_DECISIONS_STREAMS_EVENT_SPLITTER_H_
--- a/modules/qh_gateway/decisions/stream_migration.cpp
+++ b/modules/qh_gateway/decisions/streams/stream_migration.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/stream_migration.h"
+#include "qh_gateway/decisions/streams/stream_migration.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/stream_migration.h
+++ b/modules/qh_gateway/decisions/streams/stream_migration.h
@@ -1,8 +1,8 @@
 // Decides whether and when a running stream is migrated from a server whose
 // instance is about to be reclaimed.
 
-#ifndef QH_GATEWAY_DECISIONS_STREAM_MIGRATION_H_
-#define QH_GATEWAY_DECISIONS_STREAM_MIGRATION_H_
+#ifndef QH_GATEWAY_DECISIONS_STREAMS_STREAM_MIGRATION_H_
+#define QH_GATEWAY_DECISIONS_STREAMS_STREAM_MIGRATION_H_
 
 #include <cstdint>
 #include <optional>
@@ -40,4 +40,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_STREAM_MIGRATION_H_
+#endif  // QH_GATEWAY_DECISIONS_STREAMS_STREAM_MIGRATION_H_
--- a/modules/qh_gateway/decisions/usage_ledger.cpp
+++ b/modules/qh_gateway/decisions/usage/usage_ledger.cpp
@@ -1,4 +1,4 @@
-#include "qh_gateway/decisions/usage_ledger.h"
+#include "qh_gateway/decisions/usage/usage_ledger.h"
 
 #include <algorithm>
 
--- a/modules/qh_gateway/decisions/usage_ledger.h
+++ b/modules/qh_gateway/decisions/usage/usage_ledger.h
@@ -2,8 +2,8 @@
 // time, over all nodes. Every heartbeat of a peer repeats its counts of the
 // last windows, so that little is lost with a message or when a node is killed.
 
-#ifndef QH_GATEWAY_DECISIONS_USAGE_LEDGER_H_
-#define QH_GATEWAY_DECISIONS_USAGE_LEDGER_H_
+#ifndef QH_GATEWAY_DECISIONS_USAGE_USAGE_LEDGER_H_
+#define QH_GATEWAY_DECISIONS_USAGE_USAGE_LEDGER_H_
 
 #include <cstdint>
 #include <map>
@@ -73,4 +73,4 @@
 
 }  // namespace qh
 
-#endif  // QH_GATEWAY_DECISIONS_USAGE_LEDGER_H_
+#endif  // QH_GATEWAY_DECISIONS_USAGE_USAGE_LEDGER_H_
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -13,7 +13,7 @@
 #include <set>
 #include <string>
 
-#include "qh_gateway/decisions/event_splitter.h"
+#include "qh_gateway/decisions/streams/event_splitter.h"
 #include "qh_gateway/forwarding/crash_probe.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 #include "qh_gateway/forwarding/server_connection.h"
--- a/modules/qh_gateway/forwarding/exchange_migration.cpp
+++ b/modules/qh_gateway/forwarding/exchange_migration.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "qh_gateway/decisions/stream_migration.h"
+#include "qh_gateway/decisions/streams/stream_migration.h"
 #include "qh_gateway/forwarding/exchange.h"
 #include "qh_net/http_client.h"
 
--- a/tests/qh_gateway/control_test.cpp
+++ b/tests/qh_gateway/control_test.cpp
@@ -6,8 +6,8 @@
 #include "qh_gateway/control/event_log.h"
 #include "qh_gateway/control/gateway_settings.h"
 #include "qh_gateway/control/peer_heartbeat.h"
-#include "qh_gateway/decisions/capacity_planner.h"
-#include "qh_gateway/decisions/node_table.h"
+#include "qh_gateway/decisions/capacity/capacity_planner.h"
+#include "qh_gateway/decisions/nodes/node_table.h"
 
 namespace qh {
 namespace {
--- a/tests/qh_gateway/crash_search_test.cpp
+++ b/tests/qh_gateway/crash_search_test.cpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "qh_core/random/rng.h"
-#include "qh_gateway/decisions/crash_tracker.h"
+#include "qh_gateway/decisions/crash/crash_tracker.h"
 
 namespace qh {
 namespace {
--- a/tests/qh_gateway/data_path_test.cpp
+++ b/tests/qh_gateway/data_path_test.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "qh_gateway/decisions/stream_migration.h"
+#include "qh_gateway/decisions/streams/stream_migration.h"
 #include "qh_gateway/forwarding/answer_serialization.h"
 #include "tests/qh_gateway/gateway_fixture.h"
 
--- a/tests/qh_gateway/limits_test.cpp
+++ b/tests/qh_gateway/limits_test.cpp
@@ -3,11 +3,11 @@
 
 #include <catch2/catch.hpp>
 
-#include "qh_gateway/decisions/deployment_size.h"
-#include "qh_gateway/decisions/service_retry_budget.h"
-#include "qh_gateway/decisions/team_rate_limiter.h"
-#include "qh_gateway/decisions/usage_ledger.h"
-#include "qh_gateway/decisions/wall_clock.h"
+#include "qh_gateway/decisions/limits/service_retry_budget.h"
+#include "qh_gateway/decisions/limits/team_rate_limiter.h"
+#include "qh_gateway/decisions/nodes/deployment_size.h"
+#include "qh_gateway/decisions/nodes/wall_clock.h"
+#include "qh_gateway/decisions/usage/usage_ledger.h"
 
 namespace qh {
 namespace {
--- a/tests/qh_gateway/picking_test.cpp
+++ b/tests/qh_gateway/picking_test.cpp
@@ -4,8 +4,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "qh_gateway/decisions/event_splitter.h"
-#include "qh_gateway/decisions/server_picker.h"
+#include "qh_gateway/decisions/placement/server_picker.h"
+#include "qh_gateway/decisions/streams/event_splitter.h"
 
 namespace qh {
 namespace {
--- a/tests/qh_gateway/relay_test.cpp
+++ b/tests/qh_gateway/relay_test.cpp
@@ -5,8 +5,8 @@
 
 #include "qh_core/random/rng.h"
 #include "qh_gateway/control/peer_digest.h"
-#include "qh_gateway/decisions/node_table.h"
-#include "qh_gateway/decisions/relay_ranking.h"
+#include "qh_gateway/decisions/nodes/node_table.h"
+#include "qh_gateway/decisions/nodes/relay_ranking.h"
 
 namespace qh {
 namespace {
--- a/tests/qh_gateway/robustness_test.cpp
+++ b/tests/qh_gateway/robustness_test.cpp
@@ -6,7 +6,7 @@
 #include "qh_core/random/rng.h"
 #include "qh_gateway/control/gateway_settings.h"
 #include "qh_gateway/control/peer_heartbeat.h"
-#include "qh_gateway/decisions/store_mirror.h"
+#include "qh_gateway/decisions/store/store_mirror.h"
 #include "qh_gateway/forwarding/answer_serialization.h"
 #include "qh_platform/lease/lease_record.h"
 #include "tests/qh_gateway/gateway_fixture.h"
--- a/tests/qh_gateway/server_directory_test.cpp
+++ b/tests/qh_gateway/server_directory_test.cpp
@@ -2,11 +2,11 @@
 // during the outage and a grace period. If only this node was partitioned from
 // the store, missing servers are gone.
 
-#include "qh_gateway/decisions/server_directory.h"
+#include "qh_gateway/decisions/servers/server_directory.h"
 
 #include <catch2/catch.hpp>
 
-#include "qh_gateway/decisions/store_reachability.h"
+#include "qh_gateway/decisions/store/store_reachability.h"
 
 namespace qh {
 namespace {
--- a/tests/qh_gateway/server_rate_limits_test.cpp
+++ b/tests/qh_gateway/server_rate_limits_test.cpp
@@ -6,8 +6,8 @@
 
 #include "qh_core/random/rng.h"
 #include "qh_gateway/control/peer_heartbeat.h"
-#include "qh_gateway/decisions/server_rate_limits.h"
-#include "qh_gateway/decisions/server_urgency.h"
+#include "qh_gateway/decisions/admission/server_urgency.h"
+#include "qh_gateway/decisions/limits/server_rate_limits.h"
 
 namespace qh {
 namespace {
--- a/tests/qh_gateway/state_freshness_test.cpp
+++ b/tests/qh_gateway/state_freshness_test.cpp
@@ -1,6 +1,6 @@
 // Tests of StateFreshness: which confirmations count, and when a copy is aged.
 
-#include "qh_gateway/decisions/state_freshness.h"
+#include "qh_gateway/decisions/store/state_freshness.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/qh_gateway/store_mirror_test.cpp
+++ b/tests/qh_gateway/store_mirror_test.cpp
@@ -1,7 +1,7 @@
 // Objects of the store that nodes send to each other: what arrives late reverts
 // no change, and changes are as good as a whole list.
 
-#include "qh_gateway/decisions/store_mirror.h"
+#include "qh_gateway/decisions/store/store_mirror.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/qh_gateway/store_restore_test.cpp
+++ b/tests/qh_gateway/store_restore_test.cpp
@@ -5,8 +5,8 @@
 
 #include "qh_gateway/control/store_connection.h"
 #include "qh_gateway/control/store_watcher.h"
-#include "qh_gateway/decisions/server_directory.h"
-#include "qh_gateway/decisions/store_mirror.h"
+#include "qh_gateway/decisions/servers/server_directory.h"
+#include "qh_gateway/decisions/store/store_mirror.h"
 #include "tests/qh_gateway/gateway_fixture.h"
 
 namespace qh {
--- a/tests/qh_gateway/stored_verdicts_test.cpp
+++ b/tests/qh_gateway/stored_verdicts_test.cpp
@@ -1,6 +1,6 @@
 // What nodes write to the store about their verdicts, in virtual time.
 
-#include "qh_gateway/decisions/stored_verdicts.h"
+#include "qh_gateway/decisions/crash/stored_verdicts.h"
 
 #include <catch2/catch.hpp>
 
