A restarted deployment knows its recent use and size from the store

Cause: nodes that start together knew neither what was used of the teams' limits nor how many nodes share them. Change: the first node that follows the store writes each second what each team used in the last window and how many nodes there are (DeploymentRecord). A node reads it when it starts. What the record may miss counts as used.

--- /dev/null
+++ b/modules/qh_gateway/control/deployment_record.h
@@ -0,0 +1,60 @@
+// Keeps in the platform's store what nodes need to know when all of them start
+// together: the recent use of the teams' limits, and how many nodes share
+// these. Without it they can't tell how much of a limit is left for each of
+// them, and refuse requests of teams that are far below their limits.
+//
+// One node writes the record; every node reads it once, when it starts.
+
+#ifndef QH_GATEWAY_CONTROL_DEPLOYMENT_RECORD_H_
+#define QH_GATEWAY_CONTROL_DEPLOYMENT_RECORD_H_
+
+#include <string>
+
+#include "qh_core/errors/result.h"
+#include "qh_gateway/control/store_connection.h"
+#include "qh_gateway/forwarding/gateway_state.h"
+
+namespace qh {
+
+class DeploymentRecord {
+ public:
+  // Time between two writes. What was used after the last one is not recorded,
+  // so a longer time leaves a restarted deployment less of each limit.
+  static constexpr Duration kWriteInterval = std::chrono::seconds(1);
+  // Timeout of one call, and the delay after a failed one.
+  static constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
+  static constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
+
+  // `state` has to outlive the archive.
+  explicit DeploymentRecord(GatewayState& state);
+
+  // Reads the record. To be called once, when the node starts.
+  void Start();
+  // Writes the record when it is due, if this node `is_writer` and a team has a
+  // limit.
+  void OnTick(TimePoint now, bool is_writer);
+  // Drops the open call. Nothing is sent afterwards.
+  void Stop();
+
+ private:
+  void Read();
+  void OnRead(const CallReply& reply);
+  // Takes over a record. Fails with kPeerMalformed.
+  Result<void> TakeOver(const std::string& content);
+  void Write(TimePoint now);
+  void Create(const std::string& content);
+  void OnWritten(const CallReply& reply);
+  std::string Encode(const TeamUseHistory& history, TimePoint now) const;
+
+  GatewayState& state_;
+  StoreConnection connection_;
+  TimePoint started_at_;
+  bool call_open_ = false;
+  bool read_done_ = false;
+  bool stopped_ = false;
+  TimePoint no_call_before_;
+};
+
+}  // namespace qh
+
+#endif  // QH_GATEWAY_CONTROL_DEPLOYMENT_RECORD_H_
--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -65,6 +65,7 @@
                     OnHeartbeat(heartbeat);
                   }}),
       verdict_archive_(state_, kGatewayNodeKind),
+      deployment_record_(state_),
       register_connection_(io,
                            settings.store_address,
                            codec.store,
@@ -169,6 +170,7 @@
        .list_may_be_old = true});
   // The other nodes come first: they decide whether this one follows the store.
   node_watcher_->Start();
+  deployment_record_.Start();
   RegisterNode();
   WaitForSignals();
   Accept();
@@ -245,6 +247,7 @@
   CheckOpenWatches();
   FetchNewerState(now);
   verdict_archive_.OnTick(now, FollowsStore());
+  deployment_record_.OnTick(now, WritesRecord(now));
   leader_tasks_.OnTick(now, BootNow(), peers_.nodes().UnresponsiveCount(now),
                        following_);
   state_.is_leader = leader_tasks_.is_leader();
@@ -327,6 +330,7 @@
   node_watcher_->Stop();
   leader_tasks_.Stop();
   verdict_archive_.Stop();
+  deployment_record_.Stop();
   io_.stop();
 }
 
--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <string>
 
+#include "qh_gateway/control/deployment_record.h"
 #include "qh_gateway/control/leader_tasks.h"
 #include "qh_gateway/control/peer_exchange.h"
 #include "qh_gateway/control/peer_state_fetcher.h"
@@ -118,6 +119,9 @@
 
   // Whether this node follows the store and is answered.
   bool FollowsStore() const;
+  // Whether this node writes the deployment's record: the first of those that
+  // follow the store.
+  bool WritesRecord(TimePoint now) const;
   // Checks the open watches of state whose confirmation is due.
   void CheckOpenWatches();
   StoreWatcher& WatcherOf(StateKind kind);
@@ -173,6 +177,7 @@
   LeaderTasks leader_tasks_;
   PeerExchange peers_;
   VerdictArchive verdict_archive_;
+  DeploymentRecord deployment_record_;
   StoreConnection register_connection_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_timer_;
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -34,6 +34,11 @@
          !store_reachability_.is_unreachable();
 }
 
+bool GatewayNode::WritesRecord(TimePoint now) const {
+  return FollowsStore() && !state_.draining_since &&
+         peers_.nodes().FollowersBeforeSelf(now) == 0;
+}
+
 // The confirmation of one node serves all, so that the nodes that follow the
 // store take turns: one checks first, the others only if they don't hear of it.
 void GatewayNode::CheckOpenWatches() {
--- a/modules/qh_gateway/control/peer_exchange.cpp
+++ b/modules/qh_gateway/control/peer_exchange.cpp
@@ -108,6 +108,9 @@
   ranking_.SetOwnState(leader_tasks_.is_leader(), follows_store);
   state_.peer_count = nodes_.KnownCount(now);
   const size_t unresponsive = nodes_.UnresponsiveCount(now);
+  if (state_.recorded_nodes) {
+    size_.SetRecorded(*state_.recorded_nodes);
+  }
   size_.OnHeard(state_.peer_count - unresponsive, now);
   state_.peers_known = size_.is_known();
   // With relays a report waits for the interval of its sender and of two
--- a/modules/qh_gateway/decisions/limits/sliding_window_sum.cpp
+++ b/modules/qh_gateway/decisions/limits/sliding_window_sum.cpp
@@ -42,6 +42,28 @@
   sum_ += units;
 }
 
+void SlidingWindowSum::AddAt(double units, TimePoint at, TimePoint now) {
+  Advance(now);
+  const int64_t slot = at.time_since_epoch() / slot_length_;
+  const auto size = static_cast<int64_t>(slots_.size());
+  if (slot <= newest_ - size || slot > newest_) {
+    return;
+  }
+  slots_[slot % size] += units;
+  sum_ += units;
+}
+
+std::vector<double> SlidingWindowSum::Parts(size_t count, TimePoint now) {
+  Advance(now);
+  std::vector<double> parts(count);
+  const auto size = static_cast<int64_t>(slots_.size());
+  for (int64_t i = 0; i < size; ++i) {
+    parts[static_cast<size_t>(i) * count / slots_.size()] +=
+        slots_[(newest_ + 1 + i) % size];
+  }
+  return parts;
+}
+
 double SlidingWindowSum::Sum(TimePoint now) {
   Advance(now);
   return sum_;
--- a/modules/qh_gateway/decisions/limits/sliding_window_sum.h
+++ b/modules/qh_gateway/decisions/limits/sliding_window_sum.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 #include "qh_core/time/time.h"
 
@@ -21,6 +22,12 @@
   void Add(double units, TimePoint now);
   // Adds `units`, distributed evenly over the window that ends at `now`.
   void AddEvenly(double units, TimePoint now);
+  // Adds `units` that were used at `at`, which is not after `now`. Units from
+  // before the window are dropped.
+  void AddAt(double units, TimePoint at, TimePoint now);
+  // Returns the units of the window that ends at `now` in `count` equal parts,
+  // oldest first.
+  std::vector<double> Parts(size_t count, TimePoint now);
   // Returns the sum of the window that ends at `now`. Units count for up to one
   // slot longer than the window, never shorter.
   double Sum(TimePoint now);
--- a/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
+++ b/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
@@ -58,10 +58,17 @@
       account.unreported = known->second.unreported;
       account.largest_unreported = known->second.largest_unreported;
       account.reported = known->second.reported;
+      account.used_since_added = known->second.used_since_added;
+      account.assumes_full_use = known->second.assumes_full_use;
     } else {
       const double free = kStartupBurstShare * account.burst;
       account.level = free * (1 - UnresponsiveShare());
       account.used.AddEvenly(WindowGrant(account) - account.level, now);
+      account.assumes_full_use = true;
+      const auto recorded = recorded_.find(team.id);
+      if (recorded != recorded_.end()) {
+        ApplyHistory(account, recorded->second, now - recorded_at_, now);
+      }
     }
     next.emplace(team.id, account);
   }
@@ -81,9 +88,57 @@
 
 void TeamRateLimiter::Use(Account& account, double units, TimePoint now) const {
   account.used.Add(units, now);
+  account.used_since_added += units;
   account.level = std::min(BucketCapacity(account), account.level - units);
 }
 
+TeamUseHistory TeamRateLimiter::History(TimePoint now) {
+  TeamUseHistory history;
+  for (auto& [team, account] : accounts_) {
+    Fill(account, now);
+    history[team] = account.used.Parts(kHistoryParts, now);
+  }
+  return history;
+}
+
+void TeamRateLimiter::OnRecordedUse(const TeamUseHistory& history,
+                                    Duration age,
+                                    TimePoint now) {
+  recorded_ = history;
+  recorded_at_ = now - age;
+  for (auto& [team, account] : accounts_) {
+    const auto recorded = history.find(team);
+    if (recorded != history.end() && account.assumes_full_use) {
+      Fill(account, now);
+      ApplyHistory(account, recorded->second, age, now);
+    }
+  }
+}
+
+void TeamRateLimiter::ApplyHistory(Account& account,
+                                   const std::vector<double>& parts,
+                                   Duration age,
+                                   TimePoint now) const {
+  if (age >= allowance_.window || parts.empty()) {
+    return;
+  }
+  SlidingWindowSum used(allowance_.window);
+  const Duration part = allowance_.window / static_cast<int64_t>(parts.size());
+  for (size_t i = 0; i < parts.size(); ++i) {
+    const auto parts_after = static_cast<int64_t>(parts.size() - i) - 1;
+    used.AddAt(parts[i], now - age - parts_after * part, now);
+  }
+  // The bucket may have been full when the record was made.
+  const double granted =
+      WindowGrant(account) * ToSeconds(age) / ToSeconds(allowance_.window);
+  used.Add(account.burst + granted + account.used_since_added, now);
+  account.used = used;
+  account.assumes_full_use = false;
+  account.level =
+      std::clamp(WindowHeadroom(account, now), 0.0, BucketCapacity(account)) *
+      (1 - UnresponsiveShare());
+}
+
 double TeamRateLimiter::WindowHeadroom(Account& account, TimePoint now) const {
   return WindowGrant(account) + kSharedHeadroom * WindowAllowance(account) -
          account.used.Sum(now);
--- a/modules/qh_gateway/decisions/limits/team_rate_limiter.h
+++ b/modules/qh_gateway/decisions/limits/team_rate_limiter.h
@@ -5,6 +5,9 @@
 // when their heartbeats report them. Unresponsive peers are assumed to use an
 // even share each.
 //
+// A process that starts knows nothing of the use before. It assumes that all of
+// the grant was used, unless it is told the use that a node recorded lately.
+//
 // In addition a token bucket, which refills by one window's grant per window,
 // paces a team at its limit. Without it a flood would use up the grant at once
 // and leave the team nothing for the rest of the window.
@@ -39,6 +42,10 @@
   bool counts = true;
 };
 
+// The use of each limited team by the whole deployment in the window before a
+// point in time, in equal parts of the window, oldest first.
+using TeamUseHistory = std::map<TeamId, std::vector<double>>;
+
 class TeamRateLimiter {
  public:
   // How far all nodes together may exceed a limit in any window: by `share`
@@ -68,6 +75,9 @@
   // its limit seldom has, count for all peers.
   static constexpr size_t kMaxPeersOfOneRequest = 8;
 
+  // Parts of the window that History tells apart.
+  static constexpr size_t kHistoryParts = 16;
+
   // The peers' rate is measured over this time.
   static constexpr Duration kPeerRateWindow = std::chrono::milliseconds(500);
 
@@ -92,6 +102,16 @@
               TimePoint admitted,
               TimePoint now);
 
+  // Returns the use of all teams with a limit, for OnRecordedUse of processes
+  // that start later.
+  TeamUseHistory History(TimePoint now);
+  // `history` was recorded by a node `age` before `now`. It replaces what this
+  // process assumed of the use before it learned of a limit. Between the record
+  // and now, each team is assumed to have used what its limit let it use.
+  void OnRecordedUse(const TeamUseHistory& history,
+                     Duration age,
+                     TimePoint now);
+
   // Another process's totals arrived.
   void OnPeer(const PeerUse& use, TimePoint now);
   // Sets the number of peers, how many of them are unresponsive, and how old
@@ -111,6 +131,10 @@
     double burst = 0;
     // Use by the whole deployment in the last window.
     SlidingWindowSum used;
+    // Units counted since the account was added.
+    double used_since_added = 0;
+    // Whether `used` rests on the assumption that all was used before.
+    bool assumes_full_use = false;
     // Units in the bucket, at most BucketCapacity; negative after a large
     // request.
     double level = 0;
@@ -134,6 +158,11 @@
   double UnresponsiveShare() const;
   // Refills the bucket up to `now`.
   void Fill(Account& account, TimePoint now) const;
+  // Sets the account's use to the recorded one, see OnRecordedUse.
+  void ApplyHistory(Account& account,
+                    const std::vector<double>& parts,
+                    Duration age,
+                    TimePoint now) const;
   // Counts `units`; negative units are given back.
   void Use(Account& account, double units, TimePoint now) const;
   // Units that may still be used in the window that ends at `now`.
@@ -151,6 +180,10 @@
 
   Allowance allowance_;
   TimePoint started_;
+  // What OnRecordedUse told, for limits that become known later; empty if
+  // nothing did.
+  TeamUseHistory recorded_;
+  TimePoint recorded_at_;
   std::map<TeamId, Account> accounts_;
   TeamTotals totals_;
   // Last reported totals of each peer process, by incarnation.
--- a/modules/qh_gateway/decisions/nodes/deployment_size.h
+++ b/modules/qh_gateway/decisions/nodes/deployment_size.h
@@ -20,10 +20,20 @@
   static constexpr Duration kQuietTime = std::chrono::seconds(1);
   // A node that hears no peer waits this long after the first list.
   static constexpr Duration kAloneAfter = std::chrono::seconds(5);
-  // Nodes assumed until then, more than a deployment has, so that the shares of
-  // all nodes together stay within a limit.
+  // The same when this share of the nodes that a record counted is heard.
+  static constexpr double kHeardShare = 0.9;
+  // A deployment may have grown by this factor since it was recorded.
+  static constexpr double kGrowth = 1.25;
+  // Nodes assumed without a record, more than a deployment has, so that the
+  // shares of all nodes together stay within a limit.
   static constexpr size_t kAssumedNodes = 1'200;
 
+  // Returns how many nodes to assume as long as they are not known, if
+  // `recorded` counted them shortly before.
+  static size_t Assumed(std::optional<size_t> recorded);
+
+  // The deployment had this many nodes shortly before this process started.
+  void SetRecorded(size_t nodes) { recorded_ = nodes; }
   // A node was listed for the first time.
   void OnAdded(TimePoint now);
   // Sets how many peers are heard at `now`.
@@ -35,6 +45,7 @@
  private:
   std::optional<TimePoint> first_added_;
   TimePoint last_added_;
+  std::optional<size_t> recorded_;
   bool known_ = false;
 };
 
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -66,7 +66,7 @@
   size_t node_count() const { return peer_count + 1; }
   // Number of nodes that share the deployment's budgets, including this one.
   size_t budget_nodes() const {
-    return peers_known ? node_count() : DeploymentSize::kAssumedNodes;
+    return peers_known ? node_count() : DeploymentSize::Assumed(recorded_nodes);
   }
 
   boost::asio::io_context& io;
@@ -106,6 +106,9 @@
   // Whether peer_count counts all peers. A node without peers sets neither.
   bool peers_known = true;
   size_t peer_count = 0;
+  // Nodes that the deployment had shortly before this process started; nothing
+  // if no record tells.
+  std::optional<size_t> recorded_nodes;
   // Requests that were started and are not finished.
   size_t open_requests = 0;
   // Callers' connections with a request of which some bytes have arrived and
