Capacity plan: spot servers outlast a lull, orders cover a rise

Cause: the plan ended spot servers 8 s after the first request and in each short lull; the next reclaim without replacements then left too few, and on-demand servers at several times the price filled in. On a rising demand orders came a boot time late. Change: spot servers follow the highest need of the last 40 s, on-demand ones that of 12 s as before; the need includes what the demand's trend adds until ordered servers have started.

--- a/modules/qh_gateway/decisions/capacity/capacity_planner.cpp
+++ b/modules/qh_gateway/decisions/capacity/capacity_planner.cpp
@@ -19,12 +19,44 @@
   return {order.service, {order.failure_domain, order.spot}};
 }
 
-// Returns the highest need within the peak window, so that a short lull ends no
-// server.
-double CapacityPlanner::NeededServers(History& history,
-                                      const ServiceRule& service,
-                                      const ServiceDemand& demand,
-                                      TimePoint now) const {
+double CapacityPlanner::UpdatePeaks(Peaks& peaks,
+                                    double servers,
+                                    Duration window,
+                                    TimePoint now) {
+  std::erase_if(peaks, [&](const Peak& peak) {
+    return peak.at + window < now || peak.servers <= servers;
+  });
+  peaks.push_back({now, servers});
+  return peaks.front().servers;
+}
+
+double CapacityPlanner::ExpectedRise(History& history,
+                                     const ServiceRule& service,
+                                     TimePoint now) const {
+  std::vector<Peak>& averages = history.averages;
+  std::erase_if(averages, [&](const Peak& average) {
+    return average.at + settings_.trend_window < now;
+  });
+  averages.push_back({now, history.average});
+  const double elapsed = ToSeconds(now - averages.front().at);
+  if (elapsed < ToSeconds(settings_.trend_window) / 2) {
+    return 0;
+  }
+  const double per_second =
+      (history.average - averages.front().servers) / elapsed;
+  // The average lags behind the demand by its time constant.
+  const double lead =
+      ToSeconds(service.scaling->boot_time + settings_.smoothing_time);
+  return std::clamp(per_second * lead, 0.0,
+                    settings_.max_rise * history.average);
+}
+
+// The highest need within a window counts, so that a short lull ends no server.
+CapacityPlanner::Need CapacityPlanner::NeededServers(
+    History& history,
+    const ServiceRule& service,
+    const ServiceDemand& demand,
+    TimePoint now) const {
   const double slots = service.engine ? service.engine->slots : 1;
   const double current =
       std::max({1.0,
@@ -39,18 +71,22 @@
           : 1.0;
   history.averaged_at = now;
   history.average += weight * (current - history.average);
-  const double needed = history.average;
+  const double needed = history.average + ExpectedRise(history, service, now);
   if (demand.open_requests > 0 && !history.first_demand_at) {
     history.first_demand_at = now;
   }
-  std::erase_if(history.peaks, [&](const Peak& peak) {
-    return peak.at + settings_.peak_window < now || peak.servers <= needed;
-  });
-  history.peaks.push_back({now, needed});
-  const double peak = history.peaks.front().servers;
-  const bool known = history.first_demand_at &&
-                     now - *history.first_demand_at > settings_.demand_warmup;
-  return known ? peak : std::max(peak, history.found);
+  Need need{.on_demand =
+                UpdatePeaks(history.peaks, needed, settings_.peak_window, now),
+            .spot = UpdatePeaks(history.spot_peaks, needed,
+                                settings_.spot_peak_window, now)};
+  const Duration observed = now - history.first_demand_at.value_or(now);
+  if (observed <= settings_.demand_warmup) {
+    need.on_demand = std::max(need.on_demand, history.found);
+  }
+  if (observed <= settings_.spot_peak_window) {
+    need.spot = std::max(need.spot, history.found);
+  }
+  return need;
 }
 
 double CapacityPlanner::SpotPerNeeded(size_t domains) const {
@@ -103,7 +139,7 @@
     }
     history.found = std::max(history.found, found);
   }
-  const double needed = NeededServers(history, service, demand, now);
+  const Need needed = NeededServers(history, service, demand, now);
   if (now - history.first_seen < settings_.settling_time) {
     return {};
   }
@@ -128,13 +164,13 @@
 
   const uint32_t spot_per_domain =
       scaling.spot_price
-          ? std::clamp(
-                CeilOf(needed * SpotPerNeeded(domains.size()) / domain_count),
-                1U, scaling.max_servers)
+          ? std::clamp(CeilOf(needed.spot * SpotPerNeeded(domains.size()) /
+                              domain_count),
+                       1U, scaling.max_servers)
           : 0;
   uint32_t on_demand_left =
-      CeilOf(std::max(needed * settings_.on_demand_share,
-                      SpotShortfall(history, needed, running, now)));
+      CeilOf(std::max(needed.on_demand * settings_.on_demand_share,
+                      SpotShortfall(history, needed.on_demand, running, now)));
 
   std::vector<CapacityOrder> wanted;
   for (size_t i = 0; i < domains.size(); ++i) {
--- a/modules/qh_gateway/decisions/capacity/capacity_planner.h
+++ b/modules/qh_gateway/decisions/capacity/capacity_planner.h
@@ -59,6 +59,15 @@
     // The plan uses the highest demand within this time, so that servers are
     // not ended in a short lull.
     Duration peak_window = std::chrono::seconds(12);
+    // The same for reclaimable servers. They cost little, and once given back
+    // they may not be had again when the demand returns or a failure domain is
+    // reclaimed.
+    Duration spot_peak_window = std::chrono::seconds(40);
+    // The demand's rise is measured over this time. Orders cover what it adds
+    // until servers that are ordered now have started.
+    Duration trend_window = std::chrono::seconds(4);
+    // Largest share by which the expected rise adds to the demand.
+    double max_rise = 0.4;
     // After a refused order, reclaimable servers are assumed to be unavailable
     // for this time. On-demand servers then cover the loss of one more failure
     // domain.
@@ -95,10 +104,18 @@
     uint32_t desired = 0;
     TimePoint at;
   };
+  // Needed servers at a time.
   struct Peak {
     TimePoint at;
     double servers = 0;
   };
+  // Local maxima within a window, oldest first and decreasing.
+  using Peaks = std::vector<Peak>;
+  // How many servers a service needs, by how long a past need counts.
+  struct Need {
+    double on_demand = 0;
+    double spot = 0;
+  };
 
   static Key OrderKey(const CapacityOrder& order);
   // Past demand and servers of one service.
@@ -116,9 +133,12 @@
     std::optional<TimePoint> averaged_at;
     // Time of the first request.
     std::optional<TimePoint> first_demand_at;
-    // Local maxima of the needed servers within the peak window, oldest first
-    // and decreasing.
-    std::vector<Peak> peaks;
+    // Local maxima of the needed servers within peak_window and
+    // spot_peak_window.
+    Peaks peaks;
+    Peaks spot_peaks;
+    // Averages within trend_window, oldest first.
+    std::vector<Peak> averages;
   };
 
   // Returns how many reclaimable servers to order for each server needed, so
@@ -132,10 +152,20 @@
       const std::map<std::pair<FailureDomainId, bool>, uint32_t>& running,
       TimePoint now) const;
   // Returns how many servers the service needs, after an update of `history`.
-  double NeededServers(History& history,
-                       const ServiceRule& service,
-                       const ServiceDemand& demand,
-                       TimePoint now) const;
+  Need NeededServers(History& history,
+                     const ServiceRule& service,
+                     const ServiceDemand& demand,
+                     TimePoint now) const;
+  // Returns how many more servers the service is expected to need when servers
+  // that are ordered now have started.
+  double ExpectedRise(History& history,
+                      const ServiceRule& service,
+                      TimePoint now) const;
+  // Adds the need at `now`, and returns the highest one within `window`.
+  static double UpdatePeaks(Peaks& peaks,
+                            double servers,
+                            Duration window,
+                            TimePoint now);
 
   // Returns whether `order` is to be sent, with `running` servers of its kind
   // in its failure domain.
--- a/tests/qh_gateway/control_test.cpp
+++ b/tests/qh_gateway/control_test.cpp
@@ -12,6 +12,7 @@
 namespace qh {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const TimePoint kStart{seconds(1'000)};
@@ -301,6 +302,53 @@
   CHECK(Sum(desired(6), true) < Sum(desired(4), true) * 4 / 5);
 }
 
+// A lull of half a minute, in which a failure domain may be reclaimed and no
+// new spot server be available: those that run have to outlast it.
+TEST_CASE("spot servers outlast a lull longer than on-demand servers") {
+  CapacityPlanner planner(CapacityPlanner::Settings{});
+  const ServiceRule service = Scaled();
+  const Fleet fleet(4, 40);
+  const ServiceDemand busy{.open_requests = 90};
+  const ServiceDemand lull{.open_requests = 20};
+  TimePoint now = kStart;
+  std::vector<CapacityOrder> orders;
+  const auto run = [&](const ServiceDemand& demand, Duration length) {
+    for (const TimePoint end = now + length; now < end;
+         now += milliseconds(500)) {
+      orders = planner.Plan(service, demand, fleet.All(), now);
+    }
+  };
+  run(busy, seconds(60));
+  const uint32_t busy_spot = Sum(orders, true);
+  const uint32_t busy_on_demand = Sum(orders, false);
+  run(lull, seconds(30));
+  CHECK(Sum(orders, true) == busy_spot);
+  CHECK(Sum(orders, false) < busy_on_demand);
+  run(lull, seconds(20));
+  CHECK(Sum(orders, true) < busy_spot);
+}
+
+// Demand that rises steadily: servers that are ordered when they are needed
+// start too late.
+TEST_CASE("orders cover the rise until ordered servers have started") {
+  ServiceRule service = Scaled();
+  service.scaling->boot_time = seconds(4);
+  const Fleet fleet(4, 40);
+  const auto ordered = [&](double rise_per_second) {
+    CapacityPlanner planner(CapacityPlanner::Settings{});
+    std::vector<CapacityOrder> orders;
+    for (int step = 0; step <= 80; ++step) {
+      const double seconds_to_end = (80 - step) / 2.0;
+      const ServiceDemand demand{.open_requests =
+                                     100 - rise_per_second * seconds_to_end};
+      orders = planner.Plan(service, demand, fleet.All(),
+                            kStart + milliseconds(500) * step);
+    }
+    return Sum(orders, true);
+  };
+  CHECK(ordered(2) > ordered(0));
+}
+
 // Every spot server is reclaimed and no new one is available: on-demand servers
 // have to replace them.
 TEST_CASE("on-demand servers replace spot servers that are not available") {
