A speed for each engine, learned and shared between nodes

Cause: engines of one service prefill at 0.6 to 1.6 times its rate, but the rate was known for the service as a whole, so that a slow engine was expected to start as soon as a fast one.

Change: ServerSpeeds estimates each engine's prefill rate relative to its service's: the median over samples of different times (samples within 0.6 s count once, so that a slow phase moves it little), half-life 30 s, shrunk to the service's rate by two samples' weight, bounded to 0.25 to 4. Only prompts of 1,500 tokens that are half of what waits there, at a server with a free slot and with an answer that is a success, are samples. Heartbeats carry rate, samples and the server's process (field "speeds", optional, 256 servers at most), relays merge them by weight; a process that restarted starts anew. Used in the expected time to the first event (thus in the choice, admission and the stall timeout), in the weighted rendezvous hash that chooses home servers (weights in steps of 1.25, so that nodes agree), and in the number of servers that the capacity plan takes the prefill to need. The service's rate is now that of an engine with a speed of 1. A migrated run no longer counts as prefill. Log line: "speed"; metric: gateway_server_speed.

Run: quetzalhall-gateway builds; the cases of server_speeds_test, picking_test and relay_test pass. The whole of test_qh_gateway was not run at this commit.

--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -377,6 +377,22 @@
   state_.metrics.Set(
       {.name = "gateway_limited_servers"},
       static_cast<double>(state_.picker.rate_limits().limited_servers()));
+  if (state_.config != nullptr) {
+    for (const ServiceRule& service : state_.config->services()) {
+      if (service.engine) {
+        const SpeedRange speeds = state_.picker.Speeds(service.name);
+        const auto set = [&](const char* which, double speed) {
+          state_.metrics.Set({.name = "gateway_server_speed",
+                              .request_class = service.name,
+                              .reason = which},
+                             speed);
+        };
+        set("slowest", speeds.slowest);
+        set("mean", speeds.mean);
+        set("fastest", speeds.fastest);
+      }
+    }
+  }
   state_.metrics.Set({.name = "gateway_holds_duties"},
                      leader_tasks_.is_leader() ? 1.0 : 0.0);
   return {.content_type = "text/plain; version=0.0.4",
--- a/modules/qh_gateway/control/leader_tasks.cpp
+++ b/modules/qh_gateway/control/leader_tasks.cpp
@@ -279,8 +279,10 @@
     const auto found = rates->find(service.name);
     prefill_rate += found == rates->end() ? 0 : found->second;
   }
-  demand.prefill_servers =
-      prefill_rate / state_.picker.PrefillRate(service.name);
+  // Prompt tokens per millisecond of an average server.
+  const double server_rate = state_.picker.PrefillRate(service.name) *
+                             state_.picker.Speeds(service.name).mean;
+  demand.prefill_servers = prefill_rate / server_rate;
   demand.withheld_servers = WithheldServers(service);
   return demand;
 }
--- a/modules/qh_gateway/control/peer_digest.cpp
+++ b/modules/qh_gateway/control/peer_digest.cpp
@@ -56,6 +56,7 @@
   for (const auto& [service, rate] : more.prefill_rates) {
     sum.prefill_rates[service] += rate;
   }
+  MergeSpeeds(sum.server_speeds, more.server_speeds);
   sum.covered_nodes += more.covered_nodes;
 }
 
--- a/modules/qh_gateway/control/peer_exchange.cpp
+++ b/modules/qh_gateway/control/peer_exchange.cpp
@@ -161,7 +161,8 @@
       .team_totals = state_.team_rate_limiter.totals(),
       .usage = state_.usage.Recent(),
       .crashes = state_.crash_tracker.TakeReport(now),
-      .prefill_rates = leader_tasks_.own_prefill_rates()};
+      .prefill_rates = leader_tasks_.own_prefill_rates(),
+      .server_speeds = state_.picker.speeds().Report(now)};
   hooks_.describe_node(heartbeat);
   return heartbeat;
 }
@@ -366,6 +367,15 @@
   }
   state_.picker.load().OnPeer(source, heartbeat.outstanding_work, now);
   UpdatePrefillRates(source, heartbeat, now);
+  const size_t invalid =
+      state_.picker.speeds().OnPeer(source, heartbeat.server_speeds, now);
+  if (invalid > 0 && invalid_speeds_logged_.insert(source).second) {
+    state_.log.Write(LogLine(ToName(GatewayEvent::kPeerHeartbeatRejected))
+                         .With("from", heartbeat.node)
+                         .With("why", "invalid server speeds left out")
+                         .With("speeds", invalid),
+                     GatewayEvent::kPeerHeartbeatRejected);
+  }
 }
 
 void PeerExchange::UpdatePrefillRates(const std::string& source,
--- a/modules/qh_gateway/control/peer_exchange.h
+++ b/modules/qh_gateway/control/peer_exchange.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "qh_gateway/control/leader_tasks.h"
@@ -134,6 +135,8 @@
   std::map<std::string, uint64_t> last_sequences_;
   // By source: a node, a failure domain, or all nodes.
   std::map<std::string, PrefillRates> prefill_rates_;
+  // Sources with invalid speeds of servers; each is logged once.
+  std::set<std::string> invalid_speeds_logged_;
 };
 
 }  // namespace qh
--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -1,6 +1,7 @@
 #include "qh_gateway/control/peer_heartbeat.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "qh_core/text/bounded_json.h"
@@ -90,6 +91,39 @@
   return limits;
 }
 
+Json SpeedsToJson(const SpeedReports& speeds) {
+  Json list = Json::array();
+  for (const auto& [server, report] : speeds) {
+    list.push_back(
+        {server.value(), report.started_ms, report.rate, report.samples});
+  }
+  return list;
+}
+
+// Returns a value that is no number as NaN, which ServerSpeeds doesn't use.
+double NumberFromJson(const Json& json) {
+  return json.is_number() ? json.get<double>()
+                          : std::numeric_limits<double>::quiet_NaN();
+}
+
+// Nodes of an earlier version don't send speeds.
+SpeedReports SpeedsFromJson(const Json& json) {
+  SpeedReports speeds;
+  const auto found = json.find("speeds");
+  if (found == json.end()) {
+    return speeds;
+  }
+  for (const Json& entry : *found) {
+    if (speeds.size() >= ServerSpeeds::kMaxReported) {
+      break;
+    }
+    speeds[ServerId(entry.at(0))] = {.started_ms = entry.at(1),
+                                     .rate = NumberFromJson(entry.at(2)),
+                                     .samples = NumberFromJson(entry.at(3))};
+  }
+  return speeds;
+}
+
 Json VersionToJson(const StoreVersion& version) {
   return Json::array({version.epoch, version.revision});
 }
@@ -299,6 +333,7 @@
   heartbeat.crashes = CrashReportFromJson(json, MonotonicNow());
   heartbeat.prefill_rates =
       json.at("reading").get<std::map<std::string, double>>();
+  heartbeat.server_speeds = SpeedsFromJson(json);
   return heartbeat;
 }
 
@@ -359,7 +394,8 @@
       {"crash", CrashRecordsToJson(crashes.records, crashes.made)},
       {"crash_sound", SoundAnswersToJson(crashes.sound, crashes.made)},
       {"crash_verdicts", VerdictsToJson(crashes.verdicts, crashes.made)},
-      {"reading", prefill_rates}};
+      {"reading", prefill_rates},
+      {"speeds", SpeedsToJson(server_speeds)}};
   std::string bytes;
   Json::to_msgpack(json, bytes);
   return bytes;
--- a/modules/qh_gateway/control/peer_heartbeat.h
+++ b/modules/qh_gateway/control/peer_heartbeat.h
@@ -21,6 +21,7 @@
 #include "qh_gateway/decisions/limits/team_rate_limiter.h"
 #include "qh_gateway/decisions/placement/server_load.h"
 #include "qh_gateway/decisions/placement/server_pauses.h"
+#include "qh_gateway/decisions/placement/server_speeds.h"
 #include "qh_gateway/decisions/servers/server_departures.h"
 #include "qh_gateway/decisions/store/state_freshness.h"
 #include "qh_gateway/decisions/store/store_reachability.h"
@@ -112,7 +113,7 @@
   // Versions at which the store's lists of servers and of nodes last changed.
   StoreVersion servers_changed;
   StoreVersion nodes_changed;
-  // The next five sum up the nodes of `scope`: requests in flight, by server.
+  // The next six sum up the nodes of `scope`: requests in flight, by server.
   OutstandingWorkByServer outstanding_work;
   // Units admitted against the limit of each team since the process started.
   TeamTotals team_totals;
@@ -122,6 +123,8 @@
   CrashReport crashes;
   // Prompt tokens per millisecond that servers had to prefill, by service.
   std::map<std::string, double> prefill_rates;
+  // Measured prefill rates of single servers.
+  SpeedReports server_speeds;
 
   // Returns the heartbeat as MessagePack.
   std::string Encode() const;
--- a/modules/qh_gateway/decisions/placement/server_picker.cpp
+++ b/modules/qh_gateway/decisions/placement/server_picker.cpp
@@ -1,6 +1,7 @@
 #include "qh_gateway/decisions/placement/server_picker.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "qh_core/hash/hash.h"
 
@@ -16,6 +17,11 @@
 constexpr double kPrefillRateSmoothing = 0.05;
 // A wait for fewer tokens says little about the prefill rate.
 constexpr double kMinTokensToMeasure = 3'000;
+// A server's speed is measured by prompts with at least this number of tokens,
+// and with at least this share of what was waiting there: the rest was computed
+// before or beside the prompt, in an order that the node doesn't know.
+constexpr double kMinTokensForSpeed = 1'500;
+constexpr double kMinShareForSpeed = 0.5;
 // Time to the first event on an idle engine, without prefill.
 constexpr double kIdleEngineTtfbMs = 30;
 // Time for which a slot of a full engine stays occupied.
@@ -61,6 +67,22 @@
   return found == prefill_rates_.end() ? kInitialPrefillRate : found->second;
 }
 
+SpeedRange ServerPicker::Speeds(const std::string& service) const {
+  return speeds_.Range(directory_.Usable(service));
+}
+
+double ServerPicker::HomeRank(uint64_t home_key,
+                              const ServerRecord& server) const {
+  // Weighted rendezvous hashing; with equal weights the order is that of the
+  // hashes.
+  constexpr double kRange = 0x1p64;
+  constexpr double kBelowOne = 1 - 0x1p-53;
+  const auto hash =
+      static_cast<double>(RendezvousWeight(home_key, server.id.value()));
+  const double uniform = std::clamp(hash / kRange, 1 / kRange, kBelowOne);
+  return -speeds_.HomeWeight(server) / std::log(uniform);
+}
+
 double ServerPicker::PeerPausePenalty(const ServerId& server,
                                       TimePoint now) const {
   return pauses_.PausedForPeer(server, now) ? kPeerPausePenaltyMs : 0;
@@ -155,10 +177,9 @@
   }
   size_t chosen = 0;
   if (home_key) {
-    std::vector<std::pair<uint64_t, const ServerRecord*>> ranked;
+    std::vector<std::pair<double, const ServerRecord*>> ranked;
     for (const ServerRecord* server : servers) {
-      ranked.emplace_back(RendezvousWeight(*home_key, server->id.value()),
-                          server);
+      ranked.emplace_back(HomeRank(*home_key, *server), server);
     }
     std::partial_sort(ranked.begin(), ranked.begin() + kHomeCandidates,
                       ranked.end(), std::greater<>());
@@ -179,12 +200,14 @@
     const std::vector<uint64_t>& prefixes,
     TimePoint now) const {
   const CallerRequest& request = *query.request;
-  Candidate candidate{.server = &server, .outstanding = load_.At(server.id)};
+  Candidate candidate{.server = &server,
+                      .outstanding = load_.At(server.id),
+                      .speed = speeds_.Speed(server)};
   const uint32_t cached =
       prefix_cache_.CachedTokens(server.id, prefixes, request.prompt_parts);
   candidate.prefill_tokens =
       std::max(0.0, static_cast<double>(request.prompt_tokens) - cached);
-  const double rate = PrefillRate(query.service->name);
+  const double rate = PrefillRate(query.service->name) * candidate.speed;
   const double open = candidate.outstanding.requests;
   const double slots = server.slots;
   candidate.expected_ttfb_ms =
@@ -229,14 +252,14 @@
   Shorten(servers, prefixes.empty() ? std::nullopt : std::optional(home_key));
   std::vector<Candidate> candidates;
   size_t home = 0;
-  uint64_t home_weight = 0;
+  double home_rank = 0;
   for (const ServerRecord* server : servers) {
     candidates.push_back(engine ? AssessEngine(*server, query, prefixes, now)
                                 : AssessService(*server, now));
-    const uint64_t weight = RendezvousWeight(home_key, server->id.value());
-    if (weight >= home_weight) {
+    const double rank = engine ? HomeRank(home_key, *server) : 0;
+    if (rank >= home_rank) {
       home = candidates.size() - 1;
-      home_weight = weight;
+      home_rank = rank;
     }
   }
   if (engine && !prefixes.empty()) {
@@ -265,7 +288,8 @@
       0.0, static_cast<double>(query.request->prompt_tokens) - shared_tokens);
   const double saved = std::max(0.0, home.prefill_tokens - uncached);
   home.prefill_tokens -= saved;
-  const double saved_ms = saved / PrefillRate(query.service->name);
+  const double saved_ms =
+      saved / (PrefillRate(query.service->name) * home.speed);
   home.expected_ttfb_ms -= saved_ms;
   home.score -= saved_ms + kRecomputePenaltyMs * saved / 1'000;
 }
@@ -296,7 +320,8 @@
   return ServerPick{.server = best.server->id,
                     .expected_ttfb = FromSeconds(best.expected_ttfb_ms / 1'000),
                     .prefill_tokens = best.prefill_tokens,
-                    .outstanding = best.outstanding};
+                    .outstanding = best.outstanding,
+                    .speed = best.speed};
 }
 
 void ServerPicker::OnSent(const ServerPick& pick,
@@ -308,19 +333,40 @@
 
 void ServerPicker::OnResponseStarted(const ServerPick& pick,
                                      const std::string& service,
-                                     bool engine,
-                                     Duration waited) {
+                                     bool measurable,
+                                     Duration waited,
+                                     TimePoint now) {
   load_.OnResponseStarted(pick.server, pick.prefill_tokens);
+  if (measurable) {
+    MeasurePrefill(pick, service, waited, now);
+  }
+}
+
+void ServerPicker::MeasurePrefill(const ServerPick& pick,
+                                  const std::string& service,
+                                  Duration waited,
+                                  TimePoint now) {
   const double tokens = pick.outstanding.prefill_tokens + pick.prefill_tokens;
   const double prefill_ms = Milliseconds(waited) - kIdleEngineTtfbMs;
-  if (!engine || tokens < kMinTokensToMeasure || prefill_ms <= 1) {
+  if (prefill_ms <= 1) {
     return;
   }
-  const double measured =
-      std::clamp(tokens / prefill_ms, kMinPrefillRate, kMaxPrefillRate);
-  double& rate =
-      prefill_rates_.try_emplace(service, kInitialPrefillRate).first->second;
-  rate += kPrefillRateSmoothing * (measured - rate);
+  const double measured = tokens / prefill_ms;
+  if (tokens >= kMinTokensToMeasure) {
+    double& rate =
+        prefill_rates_.try_emplace(service, kInitialPrefillRate).first->second;
+    rate +=
+        kPrefillRateSmoothing *
+        (std::clamp(measured / pick.speed, kMinPrefillRate, kMaxPrefillRate) -
+         rate);
+  }
+  const ServerRecord* server = directory_.Find(pick.server);
+  const bool had_slot =
+      server != nullptr && pick.outstanding.requests < server->slots;
+  if (had_slot && pick.prefill_tokens >= kMinTokensForSpeed &&
+      pick.prefill_tokens >= kMinShareForSpeed * tokens) {
+    speeds_.OnSample(pick.server, server->started_ms, measured, now);
+  }
 }
 
 bool ServerPicker::OnEnded(const ServerPick& pick,
@@ -351,12 +397,14 @@
 void ServerPicker::ResetServer(const ServerId& server) {
   outliers_.Reset(server);
   prefix_cache_.Invalidate(server);
+  speeds_.Forget(server);
 }
 
 void ServerPicker::OnTick(TimePoint now) {
   load_.OnTick(now);
   pauses_.OnTick(now);
   rate_limits_.OnTick(now);
+  speeds_.OnTick(directory_.All(), now);
 }
 
 }  // namespace qh
--- a/modules/qh_gateway/decisions/placement/server_picker.h
+++ b/modules/qh_gateway/decisions/placement/server_picker.h
@@ -2,10 +2,10 @@
 //
 // Among model engines, picks the one with the shortest expected time to the
 // first event. The estimate takes into account the outstanding work there, the
-// part of the prompt that is likely cached, and the service's prefill rate.
-// Between nearly equal engines, the prompt's home server is preferred. All
-// nodes agree on it by rendezvous hashing, so that prompts with the same prefix
-// meet in one cache.
+// part of the prompt that is likely cached, the service's prefill rate and the
+// engine's speed. Between nearly equal engines, the prompt's home server is
+// preferred. All nodes agree on it by rendezvous hashing, weighted by speed, so
+// that prompts with the same prefix meet in one cache.
 //
 // Among the servers of a plain service, picks the one with the fewest requests
 // in flight per slot.
@@ -32,6 +32,7 @@
 #include "qh_gateway/decisions/placement/prefix_cache_estimate.h"
 #include "qh_gateway/decisions/placement/server_load.h"
 #include "qh_gateway/decisions/placement/server_pauses.h"
+#include "qh_gateway/decisions/placement/server_speeds.h"
 #include "qh_gateway/decisions/servers/server_directory.h"
 #include "qh_gateway/model/caller_request.h"
 #include "qh_gateway/model/service_config.h"
@@ -64,6 +65,8 @@
   double prefill_tokens = 0;
   // Work outstanding at the server when it was picked, of all nodes.
   OutstandingWork outstanding;
+  // The server's prefill rate relative to its service's.
+  double speed = 1;
 };
 
 class ServerPicker {
@@ -96,12 +99,14 @@
   // The request was sent to the chosen server.
   void OnSent(const ServerPick& pick, const CallerRequest& request);
   // The response started, `waited` after the request was sent: its head arrived
-  // or, for streams, its first event. `engine` tells whether the servers of
-  // `service` are engines.
+  // or, for streams, its first event. `measurable` tells whether that shows the
+  // prefill rate: the servers of `service` are engines, and this one computed
+  // the prompt.
   void OnResponseStarted(const ServerPick& pick,
                          const std::string& service,
-                         bool engine,
-                         Duration waited);
+                         bool measurable,
+                         Duration waited,
+                         TimePoint now);
   // The attempt that began with OnSent ended. `response_started` tells whether
   // OnResponseStarted was called for it. Returns whether the server was
   // ejected.
@@ -116,10 +121,10 @@
   void OnPauseAsked(const ServerId& server, Duration pause, TimePoint now);
   // Whether this node may send the server nothing at `now`.
   bool IsPaused(const ServerId& server, TimePoint now) const;
-  // Forgets the server's failures and cached prefixes, e.g. because its process
-  // restarted.
+  // Forgets the server's failures, cached prefixes and speed, e.g. because its
+  // process restarted.
   void ResetServer(const ServerId& server);
-  // Drops outdated reports of peers.
+  // Drops outdated reports of peers and updates the servers' speeds.
   void OnTick(TimePoint now);
 
   ServerPauses& pauses() { return pauses_; }
@@ -127,9 +132,13 @@
   const ServerRateLimits& rate_limits() const { return rate_limits_; }
   ServerLoad& load() { return load_; }
   const ServerLoad& load() const { return load_; }
-  // Returns the measured prefill rate of the engines of `service`, in tokens
-  // per millisecond.
+  ServerSpeeds& speeds() { return speeds_; }
+  const ServerSpeeds& speeds() const { return speeds_; }
+  // Returns the measured prefill rate of an engine of `service` with a speed
+  // of 1, in tokens per millisecond.
   double PrefillRate(const std::string& service) const;
+  // Returns the speeds of the usable servers of `service`.
+  SpeedRange Speeds(const std::string& service) const;
 
  private:
   // A server with its estimates for the request.
@@ -140,6 +149,7 @@
     double expected_ttfb_ms = 0;
     double prefill_tokens = 0;
     OutstandingWork outstanding;
+    double speed = 1;
   };
 
   // Why no server can be picked, as far as the servers themselves are the
@@ -162,6 +172,15 @@
   Result<std::vector<const ServerRecord*>> EligibleServers(
       const PickQuery& query,
       TimePoint now);
+  // Ranks the server as a home of the prompts with `home_key`; the highest rank
+  // is the home. A server is the home of prompts in proportion to its weight.
+  double HomeRank(uint64_t home_key, const ServerRecord& server) const;
+  // Learns from the time to the first event of a request that was sent as
+  // `pick`.
+  void MeasurePrefill(const ServerPick& pick,
+                      const std::string& service,
+                      Duration waited,
+                      TimePoint now);
   // Returns the penalty in the score of a server that asked a peer for a pause.
   double PeerPausePenalty(const ServerId& server, TimePoint now) const;
   // Returns the refusal for a request that no server takes before `wait`.
@@ -197,8 +216,9 @@
   ServerRateLimits rate_limits_;
   ServerUrgency urgency_;
   PrefixCacheEstimate prefix_cache_;
-  // Exponential average of the prefill rate in tokens per millisecond, by
-  // service.
+  ServerSpeeds speeds_;
+  // Exponential average of the prefill rate of a server with a speed of 1, in
+  // tokens per millisecond, by service.
   std::map<std::string, double> prefill_rates_;
 };
 
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -209,9 +209,11 @@
   const TimePoint now = MonotonicNow();
   time_to_first_byte_ = now - attempt_started_;
   state_.features_blocked_listeners.erase(this);
-  state_.picker.OnResponseStarted(*pick_, service_->name,
-                                  service_->engine.has_value(),
-                                  *time_to_first_byte_);
+  // A failure is answered at once, without a prefill.
+  state_.picker.OnResponseStarted(
+      *pick_, service_->name,
+      service_->engine && IsSuccess(answer_head_.status), *time_to_first_byte_,
+      now);
   if (!usage_counted_ && team_ != nullptr) {
     usage_counted_ = true;
     const TimePoint execution_started =
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -153,7 +153,8 @@
     line.With("server", pick_->server.value())
         .With("expected_ms", ToMilliseconds(pick_->expected_ttfb))
         .With("open_there", pick_->outstanding.requests)
-        .With("unread_tokens", pick_->prefill_tokens);
+        .With("unread_tokens", pick_->prefill_tokens)
+        .With("speed", pick_->speed);
   }
   if (time_to_first_byte_) {
     line.With("first_part_ms", ToMilliseconds(*time_to_first_byte_));
--- a/modules/qh_gateway/forwarding/exchange_migration.cpp
+++ b/modules/qh_gateway/forwarding/exchange_migration.cpp
@@ -135,7 +135,9 @@
   if (!migration_answered_ || !source_ended_) {
     return;
   }
-  const ServerPick destination = *std::exchange(destination_, std::nullopt);
+  ServerPick destination = *std::exchange(destination_, std::nullopt);
+  // The KV cache was copied.
+  destination.prefill_tokens = 0;
   const ServerRecord* server = state_.directory.Find(destination.server);
   if (migrated_kv_handle_.empty() || server == nullptr) {
     OnAttemptFailed(AttemptOutcome::kBroken,
--- a/modules/qh_gateway/qh_gateway.h
+++ b/modules/qh_gateway/qh_gateway.h
@@ -52,6 +52,7 @@
 #include "qh_gateway/decisions/placement/server_load.h"
 #include "qh_gateway/decisions/placement/server_pauses.h"
 #include "qh_gateway/decisions/placement/server_picker.h"
+#include "qh_gateway/decisions/placement/server_speeds.h"
 #include "qh_gateway/decisions/servers/server_departures.h"
 #include "qh_gateway/decisions/servers/server_directory.h"
 #include "qh_gateway/decisions/store/state_freshness.h"
--- a/tests/qh_gateway/picking_test.cpp
+++ b/tests/qh_gateway/picking_test.cpp
@@ -183,7 +183,8 @@
   REQUIRE(pick);
   picker.OnSent(pick.value(), request);
   SECTION("after the response started") {
-    picker.OnResponseStarted(pick.value(), "chat", true, milliseconds(80));
+    picker.OnResponseStarted(pick.value(), "chat", true, milliseconds(80),
+                             kStart);
     picker.OnEnded(pick.value(), true, AttemptOutcome::kAnswered, kStart);
   }
   SECTION("before the response started") {
