Long prompts are kept from streams, and count with their square term

Cause: an engine computes prompts between the steps that decode its streams, and an event takes several steps, so that a long prompt makes the streams there miss their event gap target. The choice of a server only looked at the time to the first event.

Change: EngineEstimate takes over the estimate of an engine from ServerPicker. It also estimates the longest gap of the streams there while the prompt is computed (steps of one event times a chunk of 4,096 tokens at the engine's speed), and adds to the score what the prompt does to the streams there, by their number and the shortest gap target of the service's stream routes, and what the prefill that waits there would do to the request's own stream. Gaps below half of the target cost nothing. The part of a prefill that grows with the square of the prompt counts as the tokens that take as long (0.25 ms per million pairs of tokens on an average engine; the rest of 0.165 to 0.35 ms goes into the learned rate). The home server is found before the estimate, which gives the same choice. Log line: "expected_gap_ms".

The cases of engine_estimate_test, server_speeds_test and picking_test pass. The whole of test_qh_gateway was not run at this commit.

--- a/modules/qh_gateway/decisions/placement/server_picker.cpp
+++ b/modules/qh_gateway/decisions/placement/server_picker.cpp
@@ -22,17 +22,8 @@
 // before or beside the prompt, in an order that the node doesn't know.
 constexpr double kMinTokensForSpeed = 1'500;
 constexpr double kMinShareForSpeed = 0.5;
-// Time to the first event on an idle engine, without prefill.
-constexpr double kIdleEngineTtfbMs = 30;
-// Time for which a slot of a full engine stays occupied.
-constexpr double kSlotHoldMs = 1'500;
-// Slowdown of an engine by each request in flight there.
-constexpr double kMsPerOpenRequest = 1.0;
 // Bonus in the score of a prompt's home server.
 constexpr double kHomeServerBonusMs = 10;
-// Penalty for each thousand prompt tokens that have to be computed again, so
-// that a short wait is preferred to double work.
-constexpr double kRecomputePenaltyMs = 12;
 // Penalty for a server with a failure share of 1; smaller shares in proportion.
 constexpr double kFailurePenaltyMs = 2'000;
 // Penalty for a server that asked a peer for a pause.
@@ -194,30 +185,31 @@
   servers.resize(chosen);
 }
 
-ServerPicker::Candidate ServerPicker::AssessEngine(
-    const ServerRecord& server,
-    const PickQuery& query,
-    const std::vector<uint64_t>& prefixes,
-    TimePoint now) const {
-  const CallerRequest& request = *query.request;
+ServerPicker::Candidate ServerPicker::AssessEngine(const ServerRecord& server,
+                                                   const PickQuery& query,
+                                                   double cached_tokens,
+                                                   TimePoint now) const {
+  const RouteRule& route = *query.route;
   Candidate candidate{.server = &server,
                       .outstanding = load_.At(server.id),
                       .speed = speeds_.Speed(server)};
-  const uint32_t cached =
-      prefix_cache_.CachedTokens(server.id, prefixes, request.prompt_parts);
-  candidate.prefill_tokens =
-      std::max(0.0, static_cast<double>(request.prompt_tokens) - cached);
-  const double rate = PrefillRate(query.service->name) * candidate.speed;
-  const double open = candidate.outstanding.requests;
-  const double slots = server.slots;
-  candidate.expected_ttfb_ms =
-      kIdleEngineTtfbMs + kMsPerOpenRequest * open +
-      (candidate.outstanding.prefill_tokens + candidate.prefill_tokens) / rate;
-  if (open >= slots) {
-    candidate.expected_ttfb_ms += (open - slots + 1) / slots * kSlotHoldMs;
-  }
-  candidate.score = candidate.expected_ttfb_ms +
-                    kRecomputePenaltyMs * candidate.prefill_tokens / 1'000 +
+  const EngineEstimate estimate = EngineEstimate::Of(
+      {.slots = server.slots,
+       .tokens_per_event = query.service->engine->tokens_per_event,
+       .service_rate = PrefillRate(query.service->name),
+       .speed = candidate.speed,
+       .outstanding = candidate.outstanding},
+      {.prompt_tokens = static_cast<double>(query.request->prompt_tokens),
+       .cached_tokens = cached_tokens,
+       .is_stream = route.kind == RequestKind::kStream,
+       .gap_target_ms = Milliseconds(route.event_gap_target),
+       .service_gap_target_ms = Milliseconds(
+           query.service_gap_target.value_or(route.event_gap_target)),
+       .latency_target_ms = Milliseconds(route.latency_target)});
+  candidate.prefill_tokens = estimate.prefill_tokens;
+  candidate.expected_ttfb_ms = estimate.ttfb_ms;
+  candidate.expected_gap_ms = estimate.gap_ms;
+  candidate.score = estimate.ttfb_ms + estimate.penalty_ms +
                     kFailurePenaltyMs * outliers_.FailureShare(server.id, now) +
                     PeerPausePenalty(server.id, now);
   return candidate;
@@ -250,21 +242,20 @@
                                 ? prefixes[0]
                                 : prefixes[prefixes.size() - 2];
   Shorten(servers, prefixes.empty() ? std::nullopt : std::optional(home_key));
+  const ServerRecord* home =
+      engine && !prefixes.empty() ? HomeAmong(servers, home_key) : nullptr;
   std::vector<Candidate> candidates;
-  size_t home = 0;
-  double home_rank = 0;
   for (const ServerRecord* server : servers) {
-    candidates.push_back(engine ? AssessEngine(*server, query, prefixes, now)
-                                : AssessService(*server, now));
-    const double rank = engine ? HomeRank(home_key, *server) : 0;
-    if (rank >= home_rank) {
-      home = candidates.size() - 1;
-      home_rank = rank;
+    if (!engine) {
+      candidates.push_back(AssessService(*server, now));
+      continue;
     }
-  }
-  if (engine && !prefixes.empty()) {
-    candidates[home].score -= kHomeServerBonusMs;
-    AssumeSharedPrefixCached(candidates[home], query);
+    uint32_t cached = prefix_cache_.CachedTokens(server->id, prefixes, parts);
+    if (server == home) {
+      cached = std::max(cached, SharedTokens(parts));
+    }
+    candidates.push_back(AssessEngine(*server, query, cached, now));
+    candidates.back().score -= server == home ? kHomeServerBonusMs : 0;
   }
   for (Candidate& candidate : candidates) {
     candidate.score += kTieBreakMs * rng_.Uniform();
@@ -277,21 +268,27 @@
 
 // All nodes send a session to its home server, which therefore likely has the
 // whole prompt but its last part cached.
-void ServerPicker::AssumeSharedPrefixCached(Candidate& home,
-                                            const PickQuery& query) const {
-  const auto& parts = query.request->prompt_parts;
-  double shared_tokens = 0;
+uint32_t ServerPicker::SharedTokens(const std::vector<PromptPart>& parts) {
+  uint32_t tokens = 0;
   for (size_t i = 0; i + 1 < parts.size(); ++i) {
-    shared_tokens += parts[i].tokens;
+    tokens += parts[i].tokens;
+  }
+  return tokens;
+}
+
+const ServerRecord* ServerPicker::HomeAmong(
+    const std::vector<const ServerRecord*>& servers,
+    uint64_t home_key) const {
+  const ServerRecord* home = nullptr;
+  double home_rank = 0;
+  for (const ServerRecord* server : servers) {
+    const double rank = HomeRank(home_key, *server);
+    if (rank >= home_rank) {
+      home = server;
+      home_rank = rank;
+    }
   }
-  const double uncached = std::max(
-      0.0, static_cast<double>(query.request->prompt_tokens) - shared_tokens);
-  const double saved = std::max(0.0, home.prefill_tokens - uncached);
-  home.prefill_tokens -= saved;
-  const double saved_ms =
-      saved / (PrefillRate(query.service->name) * home.speed);
-  home.expected_ttfb_ms -= saved_ms;
-  home.score -= saved_ms + kRecomputePenaltyMs * saved / 1'000;
+  return home;
 }
 
 Result<ServerPick> ServerPicker::CheckAdmission(const Candidate& best,
@@ -321,7 +318,8 @@
                     .expected_ttfb = FromSeconds(best.expected_ttfb_ms / 1'000),
                     .prefill_tokens = best.prefill_tokens,
                     .outstanding = best.outstanding,
-                    .speed = best.speed};
+                    .speed = best.speed,
+                    .expected_gap = FromSeconds(best.expected_gap_ms / 1'000)};
 }
 
 void ServerPicker::OnSent(const ServerPick& pick,
--- a/modules/qh_gateway/decisions/placement/server_picker.h
+++ b/modules/qh_gateway/decisions/placement/server_picker.h
@@ -2,10 +2,11 @@
 //
 // Among model engines, picks the one with the shortest expected time to the
 // first event. The estimate takes into account the outstanding work there, the
-// part of the prompt that is likely cached, the service's prefill rate and the
-// engine's speed. Between nearly equal engines, the prompt's home server is
-// preferred. All nodes agree on it by rendezvous hashing, weighted by speed, so
-// that prompts with the same prefix meet in one cache.
+// part of the prompt that is likely cached, the service's prefill rate, the
+// engine's speed and the streams that run there. Between nearly equal engines,
+// the prompt's home server is preferred. All nodes agree on it by rendezvous
+// hashing, weighted by speed, so that prompts with the same prefix meet in one
+// cache.
 //
 // Among the servers of a plain service, picks the one with the fewest requests
 // in flight per slot.
@@ -28,6 +29,7 @@
 #include "qh_core/random/rng.h"
 #include "qh_gateway/decisions/admission/server_urgency.h"
 #include "qh_gateway/decisions/limits/server_rate_limits.h"
+#include "qh_gateway/decisions/placement/engine_estimate.h"
 #include "qh_gateway/decisions/placement/outlier_detector.h"
 #include "qh_gateway/decisions/placement/prefix_cache_estimate.h"
 #include "qh_gateway/decisions/placement/server_load.h"
@@ -54,6 +56,9 @@
   // Whether this is the request's first attempt. Retries and migrations are
   // never refused as overloaded.
   bool first_attempt = true;
+  // The shortest target for the time between two events among the streams of
+  // the service; nullopt takes the route's.
+  std::optional<Duration> service_gap_target;
 };
 
 // The server picked for an attempt.
@@ -61,12 +66,16 @@
   ServerId server;
   // Expected time to first byte; for streams, to the first event.
   Duration expected_ttfb = Duration::zero();
-  // Prompt tokens that the server is expected to have to compute (prefill).
+  // Prompt tokens that the server is expected to have to compute (prefill), see
+  // EngineEstimate.
   double prefill_tokens = 0;
   // Work outstanding at the server when it was picked, of all nodes.
   OutstandingWork outstanding;
   // The server's prefill rate relative to its service's.
   double speed = 1;
+  // Expected longest time between two events of the streams there while the
+  // prompt is computed.
+  Duration expected_gap = Duration::zero();
 };
 
 class ServerPicker {
@@ -150,6 +159,7 @@
     double prefill_tokens = 0;
     OutstandingWork outstanding;
     double speed = 1;
+    double expected_gap_ms = 0;
   };
 
   // Why no server can be picked, as far as the servers themselves are the
@@ -194,15 +204,18 @@
   // identifies the prompt's home servers; nullopt for a request without prompt.
   void Shorten(std::vector<const ServerRecord*>& servers,
                std::optional<uint64_t> home_key);
-  // Estimate the wait and the score of a server. `prefixes` are the hashes of
-  // the prompt's prefixes.
+  // Estimate the wait and the score of a server. `cached_tokens` of the prompt
+  // are likely in its cache.
   Candidate AssessEngine(const ServerRecord& server,
                          const PickQuery& query,
-                         const std::vector<uint64_t>& prefixes,
+                         double cached_tokens,
                          TimePoint now) const;
   Candidate AssessService(const ServerRecord& server, TimePoint now) const;
-  // Reduces the estimates of the prompt's home server by its cached prefix.
-  void AssumeSharedPrefixCached(Candidate& home, const PickQuery& query) const;
+  // Returns the tokens that a prompt likely shares with others.
+  static uint32_t SharedTokens(const std::vector<PromptPart>& parts);
+  // Returns the home among `servers` of the prompts with `home_key`.
+  const ServerRecord* HomeAmong(const std::vector<const ServerRecord*>& servers,
+                                uint64_t home_key) const;
   // Fails with kOverloaded if the best candidate can't start in time.
   Result<ServerPick> CheckAdmission(const Candidate& best,
                                     const PickQuery& query) const;
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -154,7 +154,8 @@
         .With("expected_ms", ToMilliseconds(pick_->expected_ttfb))
         .With("open_there", pick_->outstanding.requests)
         .With("unread_tokens", pick_->prefill_tokens)
-        .With("speed", pick_->speed);
+        .With("speed", pick_->speed)
+        .With("expected_gap_ms", ToMilliseconds(pick_->expected_gap));
   }
   if (time_to_first_byte_) {
     line.With("first_part_ms", ToMilliseconds(*time_to_first_byte_));
--- a/modules/qh_gateway/forwarding/exchange_attempts.cpp
+++ b/modules/qh_gateway/forwarding/exchange_attempts.cpp
@@ -35,14 +35,16 @@
 }
 
 Result<ServerPick> Exchange::Choose(TimePoint now) {
-  return state_.picker.Choose({.route = route_,
-                               .service = service_,
-                               .request = &request_,
-                               .tried_servers = tried_servers_,
-                               .time_left = TimeLeft(now),
-                               .priority = Priority(),
-                               .first_attempt = attempts_ == 0},
-                              now);
+  return state_.picker.Choose(
+      {.route = route_,
+       .service = service_,
+       .request = &request_,
+       .tried_servers = tried_servers_,
+       .time_left = TimeLeft(now),
+       .priority = Priority(),
+       .first_attempt = attempts_ == 0,
+       .service_gap_target = config_->ShortestGapTarget(service_->name)},
+      now);
 }
 
 void Exchange::StartAttempt() {
--- a/modules/qh_gateway/model/service_config.cpp
+++ b/modules/qh_gateway/model/service_config.cpp
@@ -24,6 +24,17 @@
              parts_.routes[b].path_prefix.size();
     });
   }
+  for (const RouteRule& route : parts_.routes) {
+    if (route.kind != RequestKind::kStream) {
+      continue;
+    }
+    for (const WeightedService& share : route.services) {
+      Duration& target =
+          gap_targets_.try_emplace(share.service, route.event_gap_target)
+              .first->second;
+      target = std::min(target, route.event_gap_target);
+    }
+  }
   const auto& teams = this->teams();
   for (size_t i = 0; i < teams.size(); ++i) {
     for (const std::string& key : teams[i].keys) {
@@ -52,6 +63,13 @@
   return nullptr;
 }
 
+std::optional<Duration> ServiceConfig::ShortestGapTarget(
+    const std::string& service) const {
+  const auto found = gap_targets_.find(service);
+  return found == gap_targets_.end() ? std::nullopt
+                                     : std::optional(found->second);
+}
+
 const TeamRule* ServiceConfig::TeamForKey(std::string_view key) const {
   const auto found = by_key_.find(std::string(key));
   return found == by_key_.end() ? nullptr : &teams()[found->second];
--- a/modules/qh_gateway/model/service_config.h
+++ b/modules/qh_gateway/model/service_config.h
@@ -167,6 +167,9 @@
                               std::string_view path) const;
   // Returns the team that owns the API key `key`, or null.
   const TeamRule* TeamForKey(std::string_view key) const;
+  // Returns the shortest target for the time between two events among the
+  // routes of kind kStream to `service`; nullopt without such a route.
+  std::optional<Duration> ShortestGapTarget(const std::string& service) const;
   // Return null when there is none.
   const ServiceRule* FindService(std::string_view name) const;
   const TeamRule* FindTeam(const TeamId& id) const;
@@ -177,6 +180,8 @@
   std::unordered_map<std::string, std::vector<size_t>> by_host_;
   // Indexes into parts_.teams, by API key.
   std::unordered_map<std::string, size_t> by_key_;
+  // Shortest gap target of the streams, by service.
+  std::unordered_map<std::string, Duration> gap_targets_;
 };
 
 using ServiceConfigPtr = std::shared_ptr<const ServiceConfig>;
--- a/modules/qh_gateway/qh_gateway.h
+++ b/modules/qh_gateway/qh_gateway.h
@@ -47,6 +47,7 @@
 #include "qh_gateway/decisions/nodes/node_table.h"
 #include "qh_gateway/decisions/nodes/relay_ranking.h"
 #include "qh_gateway/decisions/nodes/wall_clock.h"
+#include "qh_gateway/decisions/placement/engine_estimate.h"
 #include "qh_gateway/decisions/placement/outlier_detector.h"
 #include "qh_gateway/decisions/placement/prefix_cache_estimate.h"
 #include "qh_gateway/decisions/placement/server_load.h"
