The KV cache of an engine counts as a limit beside its slots

Cause: requests in flight share the engine's KV cache, and an engine whose cache is full preempts streams, but the choice of a server only knew its slots.

Change: OutstandingWork, the heartbeat's "open" entries (a fourth, optional element) and the relays' sums carry the tokens that requests in flight are expected to hold: the prompt, and the output that the caller expects, bounded by its limit, or half of the limit. Beyond EngineTraits::kv_tokens the score of a server grows as if it had no free slot. Prompts may share cached parts, so the sum is an upper bound; it counts in the choice, not in the expected time to the first event, so that it refuses no request. Log lines: "unread_there", "kv_there".

Run: the module builds; the cases of engine_estimate_test, server_speeds_test, picking_test and relay_test pass. Effect under load not measured.

--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -20,7 +20,8 @@
   Json list = Json::array();
   for (const auto& [server, open] : work) {
     list.push_back({server.value(), open.requests,
-                    static_cast<uint64_t>(open.prefill_tokens)});
+                    static_cast<uint64_t>(open.prefill_tokens),
+                    static_cast<uint64_t>(open.kv_tokens)});
   }
   return list;
 }
@@ -106,6 +107,16 @@
                           : std::numeric_limits<double>::quiet_NaN();
 }
 
+// Returns the KV tokens of an entry of outstanding work. Nodes of an earlier
+// version don't send them; a value that can't be theirs counts as none.
+double KvTokensOf(const Json& entry) {
+  constexpr size_t kIndex = 3;
+  constexpr double kMostTokens = 1e12;
+  const double tokens =
+      entry.size() > kIndex ? NumberFromJson(entry.at(kIndex)) : 0;
+  return tokens >= 0 && tokens <= kMostTokens ? tokens : 0;
+}
+
 // Nodes of an earlier version don't send speeds.
 SpeedReports SpeedsFromJson(const Json& json) {
   SpeedReports speeds;
@@ -319,7 +330,7 @@
                                   AgoFromJson(json.at("returned"))};
   for (const Json& entry : json.at("open")) {
     heartbeat.outstanding_work[ServerId(entry.at(0))] = {
-        entry.at(1), entry.at(2).get<double>()};
+        entry.at(1), entry.at(2).get<double>(), KvTokensOf(entry)};
   }
   for (const auto& [team, units] : json.at("totals").items()) {
     heartbeat.team_totals[TeamId(team)] = units;
--- a/modules/qh_gateway/decisions/placement/engine_estimate.cpp
+++ b/modules/qh_gateway/decisions/placement/engine_estimate.cpp
@@ -45,6 +45,14 @@
 
 }  // namespace
 
+double ExpectedKvTokens(const CallerRequest& request) {
+  const double most = request.max_output_tokens;
+  const double expected = request.expected_output_tokens;
+  const double half_of_most = most / 2;
+  const double bounded = most > 0 ? std::min(expected, most) : expected;
+  return request.prompt_tokens + (expected > 0 ? bounded : half_of_most);
+}
+
 EngineEstimate EngineEstimate::Of(const EngineState& engine,
                                   const EngineRequest& request) {
   EngineEstimate estimate;
@@ -65,6 +73,12 @@
     estimate.ttfb_ms += (open - slots + 1) / slots * kSlotHoldMs;
   }
 
+  const double kv_tokens = engine.outstanding.kv_tokens + request.kv_tokens;
+  const double kv_wait_ms =
+      engine.kv_capacity > 0 && kv_tokens > engine.kv_capacity
+          ? (kv_tokens / engine.kv_capacity - 1 + 1 / slots) * kSlotHoldMs
+          : 0;
+
   // The steps of one event compute a limited number of prompt tokens. Those of
   // this prompt come first in the sum, because tokens of a long prompt take
   // longer.
@@ -87,7 +101,8 @@
       request.is_stream
           ? kOwnGapShare * GapCost(gap_before_ms, request.gap_target_ms)
           : 0;
-  estimate.penalty_ms = kRecomputePenaltyMs * estimate.prefill_tokens / 1'000 +
+  estimate.penalty_ms = kv_wait_ms +
+                        kRecomputePenaltyMs * estimate.prefill_tokens / 1'000 +
                         request.latency_target_ms * (others_cost + own_cost);
   return estimate;
 }
--- a/modules/qh_gateway/decisions/placement/engine_estimate.h
+++ b/modules/qh_gateway/decisions/placement/engine_estimate.h
@@ -8,6 +8,12 @@
 // the more so on a slow engine. Long prompts therefore go where little prefill
 // waits and few streams run, and streams go where little prefill waits.
 //
+// Running requests share the engine's KV cache. When it is full, the engine
+// preempts a request, even in the middle of its stream, so that an engine whose
+// requests are expected to need more is avoided like one without a free slot.
+// The expected need is an upper bound, because prompts may share parts: it
+// counts in the choice, but refuses no request.
+//
 // The functions do no I/O and read no clock.
 
 #ifndef QH_GATEWAY_DECISIONS_PLACEMENT_ENGINE_ESTIMATE_H_
@@ -16,6 +22,7 @@
 #include <cstdint>
 
 #include "qh_gateway/decisions/placement/server_load.h"
+#include "qh_gateway/model/caller_request.h"
 
 namespace qh {
 
@@ -24,6 +31,8 @@
   uint32_t slots = 1;
   // Output tokens in one event of a stream, i.e. steps from one to the next.
   uint32_t tokens_per_event = 1;
+  // Capacity of the KV cache in tokens; 0 if it is not known.
+  double kv_capacity = 0;
   // Prefill rate of an average engine of the service, in tokens per
   // millisecond, and this engine's relative to it.
   double service_rate = 1;
@@ -37,6 +46,8 @@
   double prompt_tokens = 0;
   // Tokens at the beginning of the prompt that the engine has likely cached.
   double cached_tokens = 0;
+  // See ExpectedKvTokens.
+  double kv_tokens = 0;
   // Whether the answer is a stream, with `gap_target_ms` for its events.
   bool is_stream = false;
   double gap_target_ms = 0;
@@ -63,6 +74,11 @@
                            const EngineRequest& request);
 };
 
+// Returns the tokens that `request` is expected to hold in an engine's KV cache
+// at its end: its prompt, and the output that the caller expects or, without an
+// estimate, half of the most that it allows.
+double ExpectedKvTokens(const CallerRequest& request);
+
 // Time to the first event on an idle engine, without prefill, in milliseconds.
 inline constexpr double kIdleEngineTtfbMs = 30;
 
--- a/modules/qh_gateway/decisions/placement/server_load.cpp
+++ b/modules/qh_gateway/decisions/placement/server_load.cpp
@@ -4,8 +4,11 @@
 
 namespace qh {
 
-void ServerLoad::OnSent(const ServerId& server, double prefill_tokens) {
-  own_[server] += {.requests = 1, .prefill_tokens = prefill_tokens};
+void ServerLoad::OnSent(const ServerId& server,
+                        double prefill_tokens,
+                        double kv_tokens) {
+  own_[server] +=
+      {.requests = 1, .prefill_tokens = prefill_tokens, .kv_tokens = kv_tokens};
 }
 
 void ServerLoad::OnResponseStarted(const ServerId& server,
@@ -14,7 +17,7 @@
   work.prefill_tokens = std::max(0.0, work.prefill_tokens - prefill_tokens);
 }
 
-void ServerLoad::OnEnded(const ServerId& server) {
+void ServerLoad::OnEnded(const ServerId& server, double kv_tokens) {
   const auto found = own_.find(server);
   if (found == own_.end()) {
     return;
@@ -23,6 +26,8 @@
     own_.erase(found);
   } else {
     --found->second.requests;
+    found->second.kv_tokens =
+        std::max(0.0, found->second.kv_tokens - kv_tokens);
   }
 }
 
--- a/modules/qh_gateway/decisions/placement/server_load.h
+++ b/modules/qh_gateway/decisions/placement/server_load.h
@@ -20,10 +20,14 @@
   // Prompt tokens of requests in flight whose response has not started, without
   // those that the server is expected to have cached.
   double prefill_tokens = 0;
+  // Tokens that the requests in flight are expected to hold in the server's KV
+  // cache, see ExpectedKvTokens.
+  double kv_tokens = 0;
 
   OutstandingWork& operator+=(const OutstandingWork& other) {
     requests += other.requests;
     prefill_tokens += other.prefill_tokens;
+    kv_tokens += other.kv_tokens;
     return *this;
   }
 };
@@ -35,13 +39,14 @@
   // A peer's report is dropped after this time without a new one.
   static constexpr Duration kPeerReportLifetime = std::chrono::seconds(1);
 
-  // This node sent a request that needs `prefill_tokens` of prefill.
-  void OnSent(const ServerId& server, double prefill_tokens);
+  // This node sent a request that needs `prefill_tokens` of prefill and is
+  // expected to hold `kv_tokens`.
+  void OnSent(const ServerId& server, double prefill_tokens, double kv_tokens);
   // The response to a request that was sent with `prefill_tokens` has started,
   // so its prefill is done.
   void OnResponseStarted(const ServerId& server, double prefill_tokens);
-  // A request ended, after OnResponseStarted.
-  void OnEnded(const ServerId& server);
+  // A request that was sent with `kv_tokens` ended, after OnResponseStarted.
+  void OnEnded(const ServerId& server, double kv_tokens);
 
   // Replaces the previous report of the peer `node`.
   void OnPeer(const std::string& node,
--- a/modules/qh_gateway/decisions/placement/server_picker.cpp
+++ b/modules/qh_gateway/decisions/placement/server_picker.cpp
@@ -196,11 +196,13 @@
   const EngineEstimate estimate = EngineEstimate::Of(
       {.slots = server.slots,
        .tokens_per_event = query.service->engine->tokens_per_event,
+       .kv_capacity = static_cast<double>(query.service->engine->kv_tokens),
        .service_rate = PrefillRate(query.service->name),
        .speed = candidate.speed,
        .outstanding = candidate.outstanding},
       {.prompt_tokens = static_cast<double>(query.request->prompt_tokens),
        .cached_tokens = cached_tokens,
+       .kv_tokens = ExpectedKvTokens(*query.request),
        .is_stream = route.kind == RequestKind::kStream,
        .gap_target_ms = Milliseconds(route.event_gap_target),
        .service_gap_target_ms = Milliseconds(
@@ -317,6 +319,7 @@
   return ServerPick{.server = best.server->id,
                     .expected_ttfb = FromSeconds(best.expected_ttfb_ms / 1'000),
                     .prefill_tokens = best.prefill_tokens,
+                    .kv_tokens = engine ? ExpectedKvTokens(*query.request) : 0,
                     .outstanding = best.outstanding,
                     .speed = best.speed,
                     .expected_gap = FromSeconds(best.expected_gap_ms / 1'000)};
@@ -324,7 +327,7 @@
 
 void ServerPicker::OnSent(const ServerPick& pick,
                           const CallerRequest& request) {
-  load_.OnSent(pick.server, pick.prefill_tokens);
+  load_.OnSent(pick.server, pick.prefill_tokens, pick.kv_tokens);
   prefix_cache_.OnSent(pick.server,
                        PrefixCacheEstimate::HashPrefixes(request.prompt_parts));
 }
@@ -374,7 +377,7 @@
   if (!response_started) {
     load_.OnResponseStarted(pick.server, pick.prefill_tokens);
   }
-  load_.OnEnded(pick.server);
+  load_.OnEnded(pick.server, pick.kv_tokens);
   return outliers_.OnAttemptEnded(pick.server, outcome, now);
 }
 
--- a/modules/qh_gateway/decisions/placement/server_picker.h
+++ b/modules/qh_gateway/decisions/placement/server_picker.h
@@ -69,6 +69,8 @@
   // Prompt tokens that the server is expected to have to compute (prefill), see
   // EngineEstimate.
   double prefill_tokens = 0;
+  // Tokens that the request is expected to hold in the engine's KV cache.
+  double kv_tokens = 0;
   // Work outstanding at the server when it was picked, of all nodes.
   OutstandingWork outstanding;
   // The server's prefill rate relative to its service's.
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -154,6 +154,8 @@
         .With("expected_ms", ToMilliseconds(pick_->expected_ttfb))
         .With("open_there", pick_->outstanding.requests)
         .With("unread_tokens", pick_->prefill_tokens)
+        .With("unread_there", pick_->outstanding.prefill_tokens)
+        .With("kv_there", pick_->outstanding.kv_tokens)
         .With("speed", pick_->speed)
         .With("expected_gap_ms", ToMilliseconds(pick_->expected_gap));
   }
--- a/tests/qh_gateway/control_test.cpp
+++ b/tests/qh_gateway/control_test.cpp
@@ -209,7 +209,7 @@
   heartbeat.pauses = {{ServerId("s2"), seconds(3)}};
   heartbeat.reported_window = 41;
   heartbeat.store_reachability.answered_ago = seconds(1);
-  heartbeat.outstanding_work = {{ServerId("s"), {3, 4'000}}};
+  heartbeat.outstanding_work = {{ServerId("s"), {3, 4'000, 9'000}}};
   heartbeat.team_totals = {{TeamId("t"), 1.5}};
   heartbeat.usage = {{353445120, {{TeamId("t"), 412}}}};
   heartbeat.crashes = {
@@ -227,6 +227,7 @@
   REQUIRE(decoded);
   CHECK(decoded.value().Encode() == heartbeat.Encode());
   CHECK(decoded.value().usage == heartbeat.usage);
+  CHECK(decoded.value().outstanding_work.at(ServerId("s")).kv_tokens == 9'000);
   REQUIRE(decoded.value().crashes.records.size() == 1);
   CHECK(decoded.value().crashes.records.front().server == 2);
   CHECK(decoded.value().crashes.records.front().content == ~uint64_t{0});
--- a/tests/qh_gateway/engine_estimate_test.cpp
+++ b/tests/qh_gateway/engine_estimate_test.cpp
@@ -139,6 +139,48 @@
   CHECK(choices(milliseconds(500)) == choices(seconds(3'600)));
 }
 
+TEST_CASE("expected KV tokens are the prompt and the bounded output") {
+  CallerRequest request;
+  request.prompt_tokens = 1'000;
+  request.max_output_tokens = 600;
+  CHECK(ExpectedKvTokens(request) == 1'300);
+  request.expected_output_tokens = 200;
+  CHECK(ExpectedKvTokens(request) == 1'200);
+  request.expected_output_tokens = 4'000'000'000;
+  CHECK(ExpectedKvTokens(request) == 1'600);
+}
+
+TEST_CASE("an engine without memory for a request is avoided, not refused") {
+  EngineState engine = Engine(4, 0);
+  EngineRequest request = Prompt(2'000);
+  request.kv_tokens = 2'500;
+  engine.outstanding.kv_tokens = 99'000;
+  const EngineEstimate unknown = EngineEstimate::Of(engine, request);
+  engine.kv_capacity = 200'000;
+  CHECK(EngineEstimate::Of(engine, request).penalty_ms == unknown.penalty_ms);
+  engine.kv_capacity = 100'000;
+  const EngineEstimate full = EngineEstimate::Of(engine, request);
+  // As for one request more than slots.
+  CHECK(full.penalty_ms > unknown.penalty_ms + 60);
+  CHECK(full.ttfb_ms == unknown.ttfb_ms);
+}
+
+// Guards against picking a server whose memory is taken by requests of peers.
+TEST_CASE("memory in use is counted until a request ends, and by peers") {
+  ServerLoad load;
+  const ServerId server("e");
+  load.OnSent(server, 500, 2'000);
+  load.OnSent(server, 0, 1'000);
+  load.OnPeer("peer", {{server, {1, 0, 4'000}}}, kStart);
+  CHECK(load.At(server).kv_tokens == 7'000);
+  load.OnResponseStarted(server, 500);
+  CHECK(load.At(server).kv_tokens == 7'000);
+  load.OnEnded(server, 2'000);
+  CHECK(load.At(server).kv_tokens == 5'000);
+  load.OnEnded(server, 1'000);
+  CHECK(load.At(server).kv_tokens == 4'000);
+}
+
 namespace {
 
 // An engine that decodes one token of each stream in each step and computes a
--- a/tests/qh_gateway/relay_test.cpp
+++ b/tests/qh_gateway/relay_test.cpp
@@ -111,7 +111,7 @@
   heartbeat.incarnation = node + "-1";
   heartbeat.failure_domain = kDomain;
   heartbeat.team_totals = {{kTeam, units}};
-  heartbeat.outstanding_work = {{ServerId("s"), {requests, 10}}};
+  heartbeat.outstanding_work = {{ServerId("s"), {requests, 10, 100}}};
   heartbeat.ready = true;
   return heartbeat;
 }
@@ -185,6 +185,7 @@
   const PeerHeartbeat domain = digest.OfDomain(own, kStart);
   CHECK(domain.team_totals.at(kTeam) == 35);
   CHECK(domain.outstanding_work.at(ServerId("s")).requests == 6);
+  CHECK(domain.outstanding_work.at(ServerId("s")).kv_tokens == 300);
   CHECK(domain.members.size() == 3);
   const PeerHeartbeat for_b = digest.OfDeploymentWithout("b", own, kStart);
   CHECK(for_b.team_totals.at(kTeam) == 65);
