The longest gap between two events of a stream is measured

Cause: a stream is late for its caller after one gap beyond the route's event gap target, and the gateway measured no gaps.

Change: EventGaps takes the time between events as they are passed on, the time since the last one included when a stream ends early. A pause because the caller reads slowly counts as a gap, too.

--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -236,6 +236,7 @@
       CrashTracker::kSoundAfter) {
     NoteSound();
   }
+  event_gaps_.OnEvents(MonotonicNow());
   ForwardEvents(events);
   ArmStallTimer(kEventGapTimeoutFactor * route_->event_gap_target);
 }
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 
+#include "qh_gateway/decisions/streams/event_gaps.h"
 #include "qh_gateway/decisions/streams/event_splitter.h"
 #include "qh_gateway/forwarding/crash_probe.h"
 #include "qh_gateway/forwarding/gateway_state.h"
@@ -158,6 +159,8 @@
   void Abort(const std::string& reason);
   void Finish();
   void LogOutcome(GatewayEvent event, int status, std::string_view reason);
+  // Adds the longest gap between two events to the metrics and to the line.
+  void ReportEventGap(LogLine& line);
 
   // Rank of the request, 0 the most urgent: the team's, else the route's.
   int Priority() const;
@@ -245,6 +248,7 @@
   bool has_answer_head_ = false;
   std::string buffered_body_;
   EventSplitter event_splitter_;
+  EventGaps event_gaps_;
   // The request's body and what is held of the answer.
   HeldBytes held_;
   // The head of the answer has been written to the caller.
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -116,6 +116,21 @@
   held_.Set(0);
 }
 
+void Exchange::ReportEventGap(LogLine& line) {
+  const auto gap = event_gaps_.Longest(MonotonicNow());
+  if (!gap) {
+    return;
+  }
+  state_.metrics.Observe(
+      {.name = "gateway_longest_event_gap_ms", .request_class = route_->name},
+      ToMilliseconds(*gap));
+  if (*gap > route_->event_gap_target) {
+    state_.metrics.Count({.name = "gateway_late_gap_streams_total",
+                          .request_class = route_->name});
+  }
+  line.With("longest_gap_ms", ToMilliseconds(*gap));
+}
+
 void Exchange::LogOutcome(GatewayEvent event,
                           int status,
                           std::string_view reason) {
@@ -162,6 +177,7 @@
   if (time_to_first_byte_) {
     line.With("first_part_ms", ToMilliseconds(*time_to_first_byte_));
   }
+  ReportEventGap(line);
   AddStateAge(line, state_.freshness, StateKind::kConfig);
   AddStateAge(line, state_.freshness, StateKind::kServers);
   state_.log.Write(line, event);
--- a/modules/qh_gateway/qh_gateway.h
+++ b/modules/qh_gateway/qh_gateway.h
@@ -60,6 +60,7 @@
 #include "qh_gateway/decisions/store/store_epoch.h"
 #include "qh_gateway/decisions/store/store_mirror.h"
 #include "qh_gateway/decisions/store/store_reachability.h"
+#include "qh_gateway/decisions/streams/event_gaps.h"
 #include "qh_gateway/decisions/streams/event_splitter.h"
 #include "qh_gateway/decisions/streams/stream_migration.h"
 #include "qh_gateway/decisions/usage/usage_ledger.h"
