--- a/modules/qh_gateway/decisions/placement/server_picker.cpp
+++ b/modules/qh_gateway/decisions/placement/server_picker.cpp
@@ -1,6 +1,7 @@
 #include "qh_gateway/decisions/placement/server_picker.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "qh_core/hash/hash.h"
 
@@ -16,17 +17,13 @@
 constexpr double kPrefillRateSmoothing = 0.05;
 // A wait for fewer tokens says little about the prefill rate.
 constexpr double kMinTokensToMeasure = 3'000;
-// Time to the first event on an idle engine, without prefill.
-constexpr double kIdleEngineTtfbMs = 30;
-// Time for which a slot of a full engine stays occupied.
-constexpr double kSlotHoldMs = 1'500;
-// Slowdown of an engine by each request in flight there.
-constexpr double kMsPerOpenRequest = 1.0;
+// A server's speed is measured by prompts with at least this number of tokens,
+// and with at least this share of what was waiting there: the rest was computed
+// before or beside the prompt, in an order that the node doesn't know.
+constexpr double kMinTokensForSpeed = 1'500;
+constexpr double kMinShareForSpeed = 0.5;
 // Bonus in the score of a prompt's home server.
 constexpr double kHomeServerBonusMs = 10;
-// Penalty for each thousand prompt tokens that have to be computed again, so
-// that a short wait is preferred to double work.
-constexpr double kRecomputePenaltyMs = 12;
 // Penalty for a server with a failure share of 1; smaller shares in proportion.
 constexpr double kFailurePenaltyMs = 2'000;
 // Penalty for a server that asked a peer for a pause.
@@ -61,6 +58,22 @@
   return found == prefill_rates_.end() ? kInitialPrefillRate : found->second;
 }
 
+SpeedRange ServerPicker::Speeds(const std::string& service) const {
+  return speeds_.Range(directory_.Usable(service));
+}
+
+double ServerPicker::HomeRank(uint64_t home_key,
+                              const ServerRecord& server) const {
+  // Weighted rendezvous hashing; with equal weights the order is that of the
+  // hashes.
+  constexpr double kRange = 0x1p64;
+  constexpr double kBelowOne = 1 - 0x1p-53;
+  const auto hash =
+      static_cast<double>(RendezvousWeight(home_key, server.id.value()));
+  const double uniform = std::clamp(hash / kRange, 1 / kRange, kBelowOne);
+  return -speeds_.HomeWeight(server) / std::log(uniform);
+}
+
 double ServerPicker::PeerPausePenalty(const ServerId& server,
                                       TimePoint now) const {
   return pauses_.PausedForPeer(server, now) ? kPeerPausePenaltyMs : 0;
@@ -155,10 +168,9 @@
   }
   size_t chosen = 0;
   if (home_key) {
-    std::vector<std::pair<uint64_t, const ServerRecord*>> ranked;
+    std::vector<std::pair<double, const ServerRecord*>> ranked;
     for (const ServerRecord* server : servers) {
-      ranked.emplace_back(RendezvousWeight(*home_key, server->id.value()),
-                          server);
+      ranked.emplace_back(HomeRank(*home_key, *server), server);
     }
     std::partial_sort(ranked.begin(), ranked.begin() + kHomeCandidates,
                       ranked.end(), std::greater<>());
@@ -173,28 +185,33 @@
   servers.resize(chosen);
 }
 
-ServerPicker::Candidate ServerPicker::AssessEngine(
-    const ServerRecord& server,
-    const PickQuery& query,
-    const std::vector<uint64_t>& prefixes,
-    TimePoint now) const {
-  const CallerRequest& request = *query.request;
-  Candidate candidate{.server = &server, .outstanding = load_.At(server.id)};
-  const uint32_t cached =
-      prefix_cache_.CachedTokens(server.id, prefixes, request.prompt_parts);
-  candidate.prefill_tokens =
-      std::max(0.0, static_cast<double>(request.prompt_tokens) - cached);
-  const double rate = PrefillRate(query.service->name);
-  const double open = candidate.outstanding.requests;
-  const double slots = server.slots;
-  candidate.expected_ttfb_ms =
-      kIdleEngineTtfbMs + kMsPerOpenRequest * open +
-      (candidate.outstanding.prefill_tokens + candidate.prefill_tokens) / rate;
-  if (open >= slots) {
-    candidate.expected_ttfb_ms += (open - slots + 1) / slots * kSlotHoldMs;
-  }
-  candidate.score = candidate.expected_ttfb_ms +
-                    kRecomputePenaltyMs * candidate.prefill_tokens / 1'000 +
+ServerPicker::Candidate ServerPicker::AssessEngine(const ServerRecord& server,
+                                                   const PickQuery& query,
+                                                   double cached_tokens,
+                                                   TimePoint now) const {
+  const RouteRule& route = *query.route;
+  Candidate candidate{.server = &server,
+                      .outstanding = load_.At(server.id),
+                      .speed = speeds_.Speed(server)};
+  const EngineEstimate estimate = EngineEstimate::Of(
+      {.slots = server.slots,
+       .tokens_per_event = query.service->engine->tokens_per_event,
+       .kv_capacity = static_cast<double>(query.service->engine->kv_tokens),
+       .service_rate = PrefillRate(query.service->name),
+       .speed = candidate.speed,
+       .outstanding = candidate.outstanding},
+      {.prompt_tokens = static_cast<double>(query.request->prompt_tokens),
+       .cached_tokens = cached_tokens,
+       .kv_tokens = ExpectedKvTokens(*query.request),
+       .is_stream = route.kind == RequestKind::kStream,
+       .gap_target_ms = Milliseconds(route.event_gap_target),
+       .service_gap_target_ms = Milliseconds(
+           query.service_gap_target.value_or(route.event_gap_target)),
+       .latency_target_ms = Milliseconds(route.latency_target)});
+  candidate.prefill_tokens = estimate.prefill_tokens;
+  candidate.expected_ttfb_ms = estimate.ttfb_ms;
+  candidate.expected_gap_ms = estimate.gap_ms;
+  candidate.score = estimate.ttfb_ms + estimate.penalty_ms +
                     kFailurePenaltyMs * outliers_.FailureShare(server.id, now) +
                     PeerPausePenalty(server.id, now);
   return candidate;
@@ -227,21 +244,20 @@
                                 ? prefixes[0]
                                 : prefixes[prefixes.size() - 2];
   Shorten(servers, prefixes.empty() ? std::nullopt : std::optional(home_key));
+  const ServerRecord* home =
+      engine && !prefixes.empty() ? HomeAmong(servers, home_key) : nullptr;
   std::vector<Candidate> candidates;
-  size_t home = 0;
-  uint64_t home_weight = 0;
   for (const ServerRecord* server : servers) {
-    candidates.push_back(engine ? AssessEngine(*server, query, prefixes, now)
-                                : AssessService(*server, now));
-    const uint64_t weight = RendezvousWeight(home_key, server->id.value());
-    if (weight >= home_weight) {
-      home = candidates.size() - 1;
-      home_weight = weight;
+    if (!engine) {
+      candidates.push_back(AssessService(*server, now));
+      continue;
     }
-  }
-  if (engine && !prefixes.empty()) {
-    candidates[home].score -= kHomeServerBonusMs;
-    AssumeSharedPrefixCached(candidates[home], query);
+    uint32_t cached = prefix_cache_.CachedTokens(server->id, prefixes, parts);
+    if (server == home) {
+      cached = std::max(cached, SharedTokens(parts));
+    }
+    candidates.push_back(AssessEngine(*server, query, cached, now));
+    candidates.back().score -= server == home ? kHomeServerBonusMs : 0;
   }
   for (Candidate& candidate : candidates) {
     candidate.score += kTieBreakMs * rng_.Uniform();
@@ -254,20 +270,27 @@
 
 // All nodes send a session to its home server, which therefore likely has the
 // whole prompt but its last part cached.
-void ServerPicker::AssumeSharedPrefixCached(Candidate& home,
-                                            const PickQuery& query) const {
-  const auto& parts = query.request->prompt_parts;
-  double shared_tokens = 0;
+uint32_t ServerPicker::SharedTokens(const std::vector<PromptPart>& parts) {
+  uint32_t tokens = 0;
   for (size_t i = 0; i + 1 < parts.size(); ++i) {
-    shared_tokens += parts[i].tokens;
+    tokens += parts[i].tokens;
   }
-  const double uncached = std::max(
-      0.0, static_cast<double>(query.request->prompt_tokens) - shared_tokens);
-  const double saved = std::max(0.0, home.prefill_tokens - uncached);
-  home.prefill_tokens -= saved;
-  const double saved_ms = saved / PrefillRate(query.service->name);
-  home.expected_ttfb_ms -= saved_ms;
-  home.score -= saved_ms + kRecomputePenaltyMs * saved / 1'000;
+  return tokens;
+}
+
+const ServerRecord* ServerPicker::HomeAmong(
+    const std::vector<const ServerRecord*>& servers,
+    uint64_t home_key) const {
+  const ServerRecord* home = nullptr;
+  double home_rank = 0;
+  for (const ServerRecord* server : servers) {
+    const double rank = HomeRank(home_key, *server);
+    if (rank >= home_rank) {
+      home = server;
+      home_rank = rank;
+    }
+  }
+  return home;
 }
 
 Result<ServerPick> ServerPicker::CheckAdmission(const Candidate& best,
@@ -296,31 +319,55 @@
   return ServerPick{.server = best.server->id,
                     .expected_ttfb = FromSeconds(best.expected_ttfb_ms / 1'000),
                     .prefill_tokens = best.prefill_tokens,
-                    .outstanding = best.outstanding};
+                    .kv_tokens = engine ? ExpectedKvTokens(*query.request) : 0,
+                    .outstanding = best.outstanding,
+                    .speed = best.speed,
+                    .expected_gap = FromSeconds(best.expected_gap_ms / 1'000)};
 }
 
 void ServerPicker::OnSent(const ServerPick& pick,
                           const CallerRequest& request) {
-  load_.OnSent(pick.server, pick.prefill_tokens);
+  load_.OnSent(pick.server, pick.prefill_tokens, pick.kv_tokens);
   prefix_cache_.OnSent(pick.server,
                        PrefixCacheEstimate::HashPrefixes(request.prompt_parts));
 }
 
 void ServerPicker::OnResponseStarted(const ServerPick& pick,
                                      const std::string& service,
-                                     bool engine,
-                                     Duration waited) {
+                                     bool measurable,
+                                     Duration waited,
+                                     TimePoint now) {
   load_.OnResponseStarted(pick.server, pick.prefill_tokens);
+  if (measurable) {
+    MeasurePrefill(pick, service, waited, now);
+  }
+}
+
+void ServerPicker::MeasurePrefill(const ServerPick& pick,
+                                  const std::string& service,
+                                  Duration waited,
+                                  TimePoint now) {
   const double tokens = pick.outstanding.prefill_tokens + pick.prefill_tokens;
   const double prefill_ms = Milliseconds(waited) - kIdleEngineTtfbMs;
-  if (!engine || tokens < kMinTokensToMeasure || prefill_ms <= 1) {
+  if (prefill_ms <= 1) {
     return;
   }
-  const double measured =
-      std::clamp(tokens / prefill_ms, kMinPrefillRate, kMaxPrefillRate);
-  double& rate =
-      prefill_rates_.try_emplace(service, kInitialPrefillRate).first->second;
-  rate += kPrefillRateSmoothing * (measured - rate);
+  const double measured = tokens / prefill_ms;
+  if (tokens >= kMinTokensToMeasure) {
+    double& rate =
+        prefill_rates_.try_emplace(service, kInitialPrefillRate).first->second;
+    rate +=
+        kPrefillRateSmoothing *
+        (std::clamp(measured / pick.speed, kMinPrefillRate, kMaxPrefillRate) -
+         rate);
+  }
+  const ServerRecord* server = directory_.Find(pick.server);
+  const bool had_slot =
+      server != nullptr && pick.outstanding.requests < server->slots;
+  if (had_slot && pick.prefill_tokens >= kMinTokensForSpeed &&
+      pick.prefill_tokens >= kMinShareForSpeed * tokens) {
+    speeds_.OnSample(pick.server, server->started_ms, measured, now);
+  }
 }
 
 bool ServerPicker::OnEnded(const ServerPick& pick,
@@ -330,7 +377,7 @@
   if (!response_started) {
     load_.OnResponseStarted(pick.server, pick.prefill_tokens);
   }
-  load_.OnEnded(pick.server);
+  load_.OnEnded(pick.server, pick.kv_tokens);
   return outliers_.OnAttemptEnded(pick.server, outcome, now);
 }
 
@@ -351,12 +398,14 @@
 void ServerPicker::ResetServer(const ServerId& server) {
   outliers_.Reset(server);
   prefix_cache_.Invalidate(server);
+  speeds_.Forget(server);
 }
 
 void ServerPicker::OnTick(TimePoint now) {
   load_.OnTick(now);
   pauses_.OnTick(now);
   rate_limits_.OnTick(now);
+  speeds_.OnTick(directory_.All(), now);
 }
 
 }  // namespace qh
