--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -85,7 +85,9 @@
   }
   TcpSocket socket;
   boost::asio::steady_timer delay_timer;
-  HttpParser parser{MessageKind::kRequest, {}};
+  // As large as any test's limit on callers' heads, and what a node adds.
+  HttpParser parser{MessageKind::kRequest,
+                    {.header_bytes = 128U << 10U, .body_bytes = 8U << 20U}};
   bool stalled = false;
   // What a flood sends in one write.
   std::string flood;
