Bounds on what misbehaving clients make a node hold

Cause: a field of a request's head takes 64 bytes or more and was not counted, requests were read ahead without a bound while a pipeline was answered, and clients could open as many connections as the process may have descriptors.

Change: HttpParser counts the memory of fields and buffers, frees buffers between requests and doesn't move the buffered rest for each pipelined request. Reading ahead is bounded by what is buffered. Each other listener has connections and memory of its own. max_open_files is a new setting. Each closed or refused connection is counted and logged within the log's limits.

--- a/modules/qh_gateway/control/event_log.cpp
+++ b/modules/qh_gateway/control/event_log.cpp
@@ -15,6 +15,7 @@
     case GatewayEvent::kStateAged:
     case GatewayEvent::kRequestFailed:
     case GatewayEvent::kCallerInputDropped:
+    case GatewayEvent::kClientLimited:
     case GatewayEvent::kAttemptFailed:
     case GatewayEvent::kLeaseLost:
     case GatewayEvent::kLeaderCallFailed:
--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -5,6 +5,7 @@
 
 #include "qh_core/hash/hash.h"
 #include "qh_core/log/stdout_log.h"
+#include "qh_gateway/decisions/limits/descriptor_shares.h"
 #include "qh_gateway/forwarding/caller_connection.h"
 
 namespace qh {
@@ -15,6 +16,11 @@
 // A longer time would only withhold capacity while nodes are stopped one after
 // the other.
 constexpr Duration kLocateTtlSlack = std::chrono::milliseconds(700);
+// What requests and answers of one listener other than the callers' may hold:
+// at least a head and an answer of the largest size, and otherwise this part of
+// what callers may hold. Each has its own, so that none can keep out another.
+constexpr uint64_t kMinListenerBytes = uint64_t{1} << 20U;
+constexpr uint64_t kListenerBytesDivisor = 16;
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kNotReady = 503;
@@ -86,29 +92,36 @@
   const GatewaySettings& settings = state_.settings;
   BOOST_OUTCOME_TRY(callers, Listen(io_, settings.caller_address));
   caller_acceptor_ = std::move(callers);
-  const auto serve = [&](const Address& address, HttpService::Hook answer) {
-    return HttpService::Start(io_, address, std::move(answer),
-                              state_.byte_budget);
+  const DescriptorShares shares =
+      SharesOfDescriptors(MaxOpenFiles(settings.max_open_files));
+  const auto serve = [&](const char* listener, size_t connections,
+                         const Address& address, HttpService::Hook answer) {
+    return HttpService::Start(
+        io_, address, std::move(answer),
+        std::make_shared<ByteBudget>(
+            std::max(kMinListenerBytes,
+                     state_.byte_budget->limit() / kListenerBytesDivisor)),
+        state_.MakeLimiter(listener, connections));
   };
-  BOOST_OUTCOME_TRY(readiness, serve(settings.readiness_address,
-                                     [this](const HttpHead& head) {
-                                       return AnswerReady(head);
-                                     }));
+  BOOST_OUTCOME_TRY(
+      readiness,
+      serve("readiness", shares.readiness, settings.readiness_address,
+            [this](const HttpHead& head) { return AnswerReady(head); }));
   readiness_service_ = readiness;
   BOOST_OUTCOME_TRY(
-      locate, serve(settings.locate_address, [this](const HttpHead& head) {
-        return AnswerLocate(head);
-      }));
+      locate,
+      serve("locate", shares.locate, settings.locate_address,
+            [this](const HttpHead& head) { return AnswerLocate(head); }));
   locate_service_ = locate;
   BOOST_OUTCOME_TRY(
-      peers, serve(settings.peer_address,
+      peers, serve("peers", shares.peers, settings.peer_address,
                    [this](const HttpHead& head) { return AnswerPeer(head); }));
   peer_service_ = peers;
   if (settings.metrics_address) {
     BOOST_OUTCOME_TRY(
-        metrics, serve(*settings.metrics_address, [this](const HttpHead& head) {
-          return AnswerMetrics(head);
-        }));
+        metrics,
+        serve("metrics", shares.metrics, *settings.metrics_address,
+              [this](const HttpHead& head) { return AnswerMetrics(head); }));
     metrics_service_ = metrics;
   }
   return peers_.Open(settings.peer_address);
@@ -362,6 +375,12 @@
   const ByteBudget& budget = *state_.byte_budget;
   state_.metrics.Set({.name = "gateway_held_bytes"},
                      static_cast<double>(budget.held()));
+  state_.metrics.Set(
+      {.name = "gateway_caller_connections"},
+      static_cast<double>(state_.caller_limiter->open_connections()));
+  state_.metrics.Set(
+      {.name = "gateway_caller_connections_limit"},
+      static_cast<double>(state_.caller_limiter->max_connections()));
   state_.metrics.Set({.name = "gateway_held_bytes_limit"},
                      static_cast<double>(budget.limit()));
   state_.metrics.Set({.name = "gateway_held_bytes_refusals"},
--- a/modules/qh_gateway/control/gateway_settings.cpp
+++ b/modules/qh_gateway/control/gateway_settings.cpp
@@ -121,6 +121,8 @@
       reader.Number("store_reads_per_second", 1'000, 1);
   settings.link_mbps = reader.Number("link_mbps", settings.link_mbps, 0);
   settings.memory_mb = reader.Number("memory_mb", settings.memory_mb, 1);
+  settings.max_open_files =
+      static_cast<uint64_t>(reader.Number("max_open_files", 0, 0));
   settings.first_start = reader.Flag("first_start", settings.first_start);
   settings.cloud_address = reader.OptionalAddress("cloud");
   settings.server_heartbeat =
--- a/modules/qh_gateway/control/gateway_settings.h
+++ b/modules/qh_gateway/control/gateway_settings.h
@@ -43,6 +43,9 @@
 
   // Memory that the process may use, in megabytes.
   double memory_mb = 512;
+  // Files and sockets that the process may have open; zero for what the system
+  // allows it.
+  uint64_t max_open_files = 0;
 
   // Whether the whole deployment starts for the first time, so that no other
   // node can hold a lease.
--- a/modules/qh_gateway/forwarding/caller_connection.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection.cpp
@@ -5,6 +5,9 @@
 
 namespace qh {
 void CallerConnection::Serve(GatewayState& state, TcpSocket socket) {
+  if (!state.caller_limiter->MakeRoom(MonotonicNow())) {
+    return;
+  }
   TuneSocket(socket);
   const std::shared_ptr<CallerConnection> connection(
       new CallerConnection(state, std::move(socket)));
@@ -18,7 +21,10 @@
       timer_(state.io),
       parser_(MessageKind::kRequest, RequestLimits()),
       input_held_(state.byte_budget, HoldPurpose::kTraffic),
-      output_held_(state.byte_budget, HoldPurpose::kTraffic) {}
+      output_held_(state.byte_budget, HoldPurpose::kTraffic),
+      slot_(state.caller_limiter, MonotonicNow(), [this] {
+        Close(CallerCloseReason::kLimited);
+      }) {}
 
 CallerLimits CallerConnection::Limits() const {
   return state_.config == nullptr ? CallerLimits() : state_.config->limits();
@@ -31,7 +37,8 @@
 }
 
 void CallerConnection::Read() {
-  if (read_pending_ || closed_ || read_ahead_ > kMaxReadAheadBytes) {
+  if (read_pending_ || closed_ ||
+      parser_.surplus_bytes() > MaxReadAheadBytes()) {
     return;
   }
   read_pending_ = true;
@@ -56,6 +63,23 @@
       });
 }
 
+size_t CallerConnection::MaxReadAheadBytes() const {
+  return state_.byte_budget->is_tight() ? 0 : kMaxReadAheadBytes;
+}
+
+bool CallerConnection::CountInput(TimePoint now) {
+  const size_t held = parser_.held_bytes();
+  if (exchange_ != nullptr) {
+    // These bytes are for later requests. They are bounded by
+    // MaxReadAheadBytes, and a refusal would break into the running answer.
+    input_held_.Set(held);
+  } else if (!state_.caller_limiter->TryHold(input_held_, held, &slot_, now)) {
+    return false;
+  }
+  CountOutput();
+  return true;
+}
+
 void CallerConnection::OnDisconnected(const boost::system::error_code& error) {
   const bool orderly = error == boost::asio::error::eof;
   if (exchange_ != nullptr) {
@@ -92,17 +116,16 @@
     return;
   }
   const TimePoint now = MonotonicNow();
-  if (read_ahead_ == 0) {
+  if (!read_ahead_) {
     read_ahead_since_ = now;
   }
-  if (exchange_ != nullptr) {
-    read_ahead_ += size;
-  }
+  read_ahead_ = exchange_ != nullptr;
   const bool is_first_read = !parser_.started();
   const bool had_head = parser_.head_done();
   if (is_first_read) {
     parser_.SetLimits(RequestLimits());
     request_began_at_ = now;
+    slot_.SetPhase(ConnectionPhase::kReceiving, now);
   }
   // A stopping node waits for the rest of the request.
   SetUnfinished(true);
@@ -111,17 +134,12 @@
     RejectRequest(fed.error());
     return;
   }
-  if (!input_held_.TrySet(parser_.held_bytes())) {
-    // While a request runs, these bytes are for later ones. They are bounded by
-    // kMaxReadAheadBytes, and a refusal would break into the running answer.
-    if (exchange_ == nullptr) {
-      RejectRequest(
-          Error(ErrorKind::kOverloaded,
-                "the node holds too much already to take a request of " +
-                    std::to_string(parser_.held_bytes()) + " bytes"));
-      return;
-    }
-    input_held_.Set(parser_.held_bytes());
+  if (!CountInput(now)) {
+    RejectRequest(
+        Error(ErrorKind::kOverloaded,
+              "the node holds too much already to take a request of " +
+                  std::to_string(parser_.held_bytes()) + " bytes"));
+    return;
   }
   if (is_first_read || had_head != parser_.head_done()) {
     ArmReadTimer();
@@ -146,7 +164,9 @@
     return;
   }
   request.value().body = parser_.TakeBody();
+  parser_.DropFields();
   input_held_.Set(parser_.held_bytes());
+  slot_.SetPhase(ConnectionPhase::kRunning, MonotonicNow());
   if (auto& deadline = request.value().deadline) {
     // The caller's wait began when it sent the request.
     *deadline -= MonotonicNow() - request_began_at_;
--- a/modules/qh_gateway/forwarding/caller_connection.h
+++ b/modules/qh_gateway/forwarding/caller_connection.h
@@ -13,6 +13,7 @@
 #include "qh_core/text/enum_table.h"
 #include "qh_gateway/forwarding/exchange.h"
 #include "qh_gateway/forwarding/gateway_state.h"
+#include "qh_net/connection_limiter.h"
 #include "qh_net/http_parser.h"
 #include "qh_net/socket_options.h"
 
@@ -27,6 +28,8 @@
   kAnswered,
   // An answer could not be completed.
   kAborted,
+  // Closed because the node has too many connections or holds too much.
+  kLimited,
   // The caller closed its side.
   kCaller,
   // The network failed, or the caller reset the connection.
@@ -39,6 +42,7 @@
     {CallerCloseReason::kIdle, "idle"},
     {CallerCloseReason::kAnswered, "answered"},
     {CallerCloseReason::kAborted, "aborted"},
+    {CallerCloseReason::kLimited, "limited"},
     {CallerCloseReason::kCaller, "caller"},
     {CallerCloseReason::kNetwork, "network"},
 };
@@ -52,10 +56,12 @@
   static constexpr size_t kMaxUnsentBytes = 256U << 10U;
   // The same while the node holds much for all its connections together.
   static constexpr size_t kMaxUnsentBytesWhenTight = 16U << 10U;
-  // Stops reading when more bytes than this have arrived during an exchange.
+  // Stops reading when more bytes than this are buffered for later requests;
+  // when any are, while the node holds much for all its connections together.
   static constexpr size_t kMaxReadAheadBytes = 64U << 10U;
 
   // Takes over an accepted socket and serves it until either side closes it.
+  // Closes it at once if there are too many connections.
   static void Serve(GatewayState& state, TcpSocket socket);
 
  private:
@@ -67,6 +73,12 @@
   ParserLimits RequestLimits() const;
   void Read();
   void OnBytes(size_t size);
+  // Counts what the parser holds. Returns false if that is too much.
+  bool CountInput(TimePoint now);
+  // Counts what is not sent yet, and tells the limiter what a close would free.
+  void CountOutput();
+  // The one of the two limits on bytes read ahead that is in force.
+  size_t MaxReadAheadBytes() const;
   void OnDisconnected(const boost::system::error_code& error);
   // Logs input that arrived after the node had begun to close the connection.
   void LogDroppedInput(size_t size);
@@ -112,6 +124,7 @@
   // What the parser holds, and the bytes that are not written yet.
   HeldBytes input_held_;
   HeldBytes output_held_;
+  ConnectionSlot slot_;
   std::shared_ptr<Exchange> exchange_;
   // Bytes of the write in progress, and those queued for the next one.
   std::string write_buffer_;
@@ -144,8 +157,8 @@
   TimePoint close_began_at_;
   // When the connection was opened or the last answer was written.
   TimePoint idle_since_ = MonotonicNow();
-  // Bytes received since the current exchange started.
-  size_t read_ahead_ = 0;
+  // Whether bytes were received since the current exchange started.
+  bool read_ahead_ = false;
   // When the first of these bytes arrived, or the last bytes before the
   // exchange, which may hold the beginning of the next request.
   TimePoint read_ahead_since_;
--- a/modules/qh_gateway/forwarding/caller_connection_output.cpp
+++ b/modules/qh_gateway/forwarding/caller_connection_output.cpp
@@ -22,8 +22,11 @@
   } else {
     pending_output_ += bytes;
   }
-  output_held_.Set(pending_output_.size() + write_buffer_.size());
+  CountOutput();
   answer_complete_ = answer_complete_ || last;
+  if (answer_complete_) {
+    slot_.SetPhase(ConnectionPhase::kSending, MonotonicNow());
+  }
   ScheduleFlush();
   if (!backpressure_ && pending_output_.size() > MaxUnsentBytes() &&
       exchange_ != nullptr) {
@@ -32,6 +35,12 @@
   }
 }
 
+void CallerConnection::CountOutput() {
+  const size_t unsent = MemoryOf(pending_output_) + MemoryOf(write_buffer_);
+  output_held_.Set(unsent);
+  slot_.SetHeld(unsent + parser_.held_bytes());
+}
+
 size_t CallerConnection::MaxUnsentBytes() const {
   return state_.byte_budget->is_tight() ? kMaxUnsentBytesWhenTight
                                         : kMaxUnsentBytes;
@@ -78,8 +87,8 @@
 }
 
 void CallerConnection::OnWriteDone() {
-  write_buffer_ = {};
-  output_held_.Set(pending_output_.size());
+  std::string().swap(write_buffer_);
+  CountOutput();
   if (backpressure_ && pending_output_.size() < MaxUnsentBytes() / 2 &&
       exchange_ != nullptr) {
     backpressure_ = false;
@@ -97,8 +106,9 @@
   if (std::exchange(resets_on_close_, false)) {
     SetResetOnClose(socket_, false);
   }
-  read_ahead_ = 0;
+  read_ahead_ = false;
   idle_since_ = MonotonicNow();
+  slot_.SetPhase(ConnectionPhase::kIdle, idle_since_);
   if (!keep_alive_) {
     CloseGracefully(CallerCloseReason::kAnswered);
     return;
@@ -111,6 +121,10 @@
     return;
   }
   input_held_.Set(parser_.held_bytes());
+  CountOutput();
+  if (parser_.started()) {
+    slot_.SetPhase(ConnectionPhase::kReceiving, idle_since_);
+  }
   SetUnfinished(parser_.started());
   ArmReadTimer();
   StartBufferedRequest();
@@ -131,6 +145,11 @@
   lingering_ = true;
   close_reason_ = reason;
   close_began_at_ = MonotonicNow();
+  slot_.SetPhase(ConnectionPhase::kClosing, close_began_at_);
+  // Requests that are buffered are not handled any more.
+  parser_ = HttpParser(MessageKind::kRequest, RequestLimits());
+  input_held_.Set(0);
+  CountOutput();
   boost::system::error_code ignored;
   socket_.shutdown(TcpSocket::shutdown_send, ignored);
   timer_.expires_after(kLingerTimeout);
@@ -155,6 +174,13 @@
   timer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
+  // The connection itself ends once its handlers have run.
+  slot_.Release();
+  parser_ = HttpParser(MessageKind::kRequest, RequestLimits());
+  std::string().swap(pending_output_);
+  std::string().swap(write_buffer_);
+  input_held_.Set(0);
+  output_held_.Set(0);
 }
 
 }  // namespace qh
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -53,6 +53,7 @@
                    AnswerSink sink)
     : state_(state),
       request_(std::move(request)),
+      request_fields_memory_(MemoryOf(request_.forwarded_fields)),
       received_(received),
       sink_(std::move(sink)),
       deadline_timer_(state.io),
@@ -239,14 +240,17 @@
 }
 
 size_t Exchange::held_size() const {
-  return request_.body.size() + buffered_body_.size() +
-         event_splitter_.partial_size();
+  return MemoryOf(request_.body) + request_fields_memory_ +
+         buffered_body_.size() + event_splitter_.partial_size();
 }
 
 bool Exchange::CheckHeldBytes() {
   const bool endless = buffered_body_.size() > kMaxHeldBytes ||
                        event_splitter_.partial_size() > kMaxHeldBytes;
-  if (!endless && held_.TrySet(held_size())) {
+  const bool fits =
+      !endless && state_.caller_limiter->TryHold(held_, held_size(), nullptr,
+                                                 MonotonicNow());
+  if (fits) {
     return true;
   }
   const std::string size = std::to_string(held_size());
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -179,6 +179,8 @@
 
   GatewayState& state_;
   CallerRequest request_;
+  // What its fields take, in bytes.
+  size_t request_fields_memory_;
   TimePoint received_;
   AnswerSink sink_;
   boost::asio::steady_timer deadline_timer_;
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/asio/post.hpp>
 
+#include "qh_gateway/decisions/limits/descriptor_shares.h"
+#include "qh_net/socket_options.h"
+
 namespace qh {
 namespace {
 
@@ -29,6 +32,9 @@
           {.config = settings.config_apply, .servers = settings.server_drain}),
       byte_budget(std::make_shared<ByteBudget>(static_cast<uint64_t>(
           kMessageMemoryShare * settings.memory_mb * kBytesPerMegabyte))),
+      caller_limiter(MakeLimiter(
+          "callers",
+          SharesOfDescriptors(MaxOpenFiles(settings.max_open_files)).callers)),
       store_epoch([this](uint64_t epoch, bool restored) {
         if (on_store_epoch) {
           on_store_epoch(epoch, restored);
@@ -87,6 +93,26 @@
   }
 }
 
+std::shared_ptr<ConnectionLimiter> GatewayState::MakeLimiter(
+    const std::string& listener,
+    size_t max_connections) {
+  auto limiter = std::make_shared<ConnectionLimiter>(listener, max_connections);
+  limiter->on_limited = [this, listener](const LimitedConnection& limited) {
+    metrics.Count({.name = "gateway_clients_limited_total",
+                   .reason = listener + "/" +
+                             std::string(ToName(limited.limit)) +
+                             (limited.refused ? "/refused" : "/closed")});
+    log.Write(LogLine(ToName(GatewayEvent::kClientLimited))
+                  .With("listener", listener)
+                  .With("limit", ToName(limited.limit))
+                  .With("what", limited.refused ? "refused" : "closed")
+                  .With("held_bytes", limited.held)
+                  .With("stalled_ms", ToMilliseconds(limited.stalled)),
+              GatewayEvent::kClientLimited);
+  };
+  return limiter;
+}
+
 void GatewayState::EndOpenRequests() {
   // Listeners remove themselves.
   const auto listeners = stop_listeners;
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -24,6 +24,7 @@
 #include "qh_gateway/model/wire_codec.h"
 #include "qh_metrics/metrics_registry.h"
 #include "qh_net/byte_budget.h"
+#include "qh_net/connection_limiter.h"
 
 namespace qh {
 
@@ -53,6 +54,10 @@
   // Logs and counts what this node sent to servers with rate limits.
   void ReportRateLimitUse(TimePoint now);
 
+  // Returns a limiter for `listener` that logs and counts what it closes.
+  std::shared_ptr<ConnectionLimiter> MakeLimiter(const std::string& listener,
+                                                 size_t max_connections);
+
   // Takes over what a reloaded settings file may change.
   void TakeReloaded(const GatewaySettings& reloaded);
 
@@ -87,6 +92,9 @@
   // may outlive this.
   std::shared_ptr<ByteBudget> byte_budget;
 
+  // The callers' connections.
+  std::shared_ptr<ConnectionLimiter> caller_limiter;
+
   StoreEpoch store_epoch;
   // Called when the store's epoch becomes known or rises, and with whether the
   // store was restored from an older copy.
--- a/modules/qh_net/http_head.cpp
+++ b/modules/qh_net/http_head.cpp
@@ -23,6 +23,20 @@
 
 }  // namespace
 
+size_t MemoryOf(const std::string& text) {
+  static const size_t capacity_without_allocation = std::string().capacity();
+  return text.capacity() > capacity_without_allocation ? text.capacity() + 1
+                                                       : 0;
+}
+
+size_t MemoryOf(const std::vector<HttpField>& fields) {
+  size_t bytes = fields.capacity() * sizeof(HttpField);
+  for (const HttpField& field : fields) {
+    bytes += MemoryOf(field.name) + MemoryOf(field.value);
+  }
+  return bytes;
+}
+
 bool SameFieldName(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
          std::equal(a.begin(), a.end(), b.begin(),
@@ -73,6 +87,29 @@
   return false;
 }
 
+std::vector<std::string> HttpHead::SortedTokens(std::string_view name) const {
+  std::vector<std::string> tokens;
+  for (const HttpField& field : fields) {
+    if (!SameFieldName(field.name, name)) {
+      continue;
+    }
+    std::string_view rest = field.value;
+    while (!rest.empty()) {
+      const size_t comma = std::min(rest.find(','), rest.size());
+      tokens.push_back(ToLower(Trimmed(rest.substr(0, comma))));
+      rest.remove_prefix(std::min(comma + 1, rest.size()));
+    }
+  }
+  std::sort(tokens.begin(), tokens.end());
+  return tokens;
+}
+
+std::string ToLower(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(), Lower);
+  return lower;
+}
+
 bool IsHopByHop(std::string_view name) {
   constexpr std::array<std::string_view, 9> kNames = {"connection",
                                                       "keep-alive",
--- a/modules/qh_net/http_head.h
+++ b/modules/qh_net/http_head.h
@@ -50,11 +50,22 @@
   // Returns whether a field `name` has `token` in its comma-separated list;
   // tokens are case-insensitive too.
   bool HasToken(std::string_view name, std::string_view token) const;
+  // Returns the tokens of all fields `name`, in lower case and sorted. For
+  // heads of clients, whose fields may each have to be looked up.
+  std::vector<std::string> SortedTokens(std::string_view name) const;
 };
 
+// Return the memory that a string has allocated, and that fields take, in
+// bytes. A string that fits into its object has allocated nothing.
+size_t MemoryOf(const std::string& text);
+size_t MemoryOf(const std::vector<HttpField>& fields);
+
 // Returns whether two field names are equal, ignoring case.
 bool SameFieldName(std::string_view a, std::string_view b);
 
+// Returns `text` in lower case.
+std::string ToLower(std::string_view text);
+
 // Returns whether `name` is a standard hop-by-hop field, which a proxy must not
 // forward. Fields that a Connection field names are hop-by-hop too; the caller
 // checks for those.
--- a/modules/qh_net/http_parser.cpp
+++ b/modules/qh_net/http_parser.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <variant>
 
@@ -15,6 +16,19 @@
 namespace http = boost::beast::http;
 using BeastError = beast::error_code;
 
+// Appends `more` to `text`. If it has to grow, its new capacity is `capacity`,
+// or what is needed if that is more; std::string would double it.
+void AppendWithin(std::string& text, std::string_view more, size_t capacity) {
+  const size_t size = text.size() + more.size();
+  if (size > text.capacity()) {
+    std::string larger;
+    larger.reserve(std::max(size, capacity));
+    larger.append(text);
+    text = std::move(larger);
+  }
+  text.append(more);
+}
+
 // Receives the callbacks of Beast's parser and builds a head and a body.
 template <bool kIsRequest>
 class Collector final : public http::basic_parser<kIsRequest> {
@@ -25,6 +39,17 @@
   uint64_t body_bytes = 0;
 
  private:
+  // Appends to the body. Reserves no more than a body of known length needs,
+  // instead of up to twice that.
+  void AddBody(beast::string_view text) {
+    const auto left = this->content_length_remaining();
+    size_t capacity = 2 * body.capacity();
+    if (left) {
+      capacity = std::min<size_t>(capacity, body.size() + left.value());
+    }
+    AppendWithin(body, {text.data(), text.size()}, capacity);
+    body_bytes += text.size();
+  }
   void on_request_impl(http::verb /*method*/,
                        beast::string_view method,
                        beast::string_view target,
@@ -53,8 +78,7 @@
                          BeastError& /*error*/) override {}
   std::size_t on_body_impl(beast::string_view text,
                            BeastError& /*error*/) override {
-    body.append(text.data(), text.size());
-    body_bytes += text.size();
+    AddBody(text);
     return text.size();
   }
   void on_chunk_header_impl(std::uint64_t /*size*/,
@@ -63,13 +87,16 @@
   std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
                                  beast::string_view text,
                                  BeastError& /*error*/) override {
-    body.append(text.data(), text.size());
-    body_bytes += text.size();
+    AddBody(text);
     return text.size();
   }
   void on_finish_impl(BeastError& /*error*/) override {}
 };
 
+size_t HeadMemory(const HttpHead& head) {
+  return MemoryOf(head.fields) + MemoryOf(head.target);
+}
+
 Error ToError(const BeastError& error) {
   if (error == http::error::header_limit) {
     return {ErrorKind::kHeadersTooLarge, "header limit passed"};
@@ -101,8 +128,11 @@
   ParserLimits limits;
   std::optional<Collector<true>> request;
   std::optional<Collector<false>> answer;
-  // Bytes not yet parsed.
+  // Bytes not yet parsed are those from `pending_begin`.
   std::string pending;
+  size_t pending_begin = 0;
+  // Memory that the fields of the current head take.
+  size_t head_bytes = 0;
   // Bytes of the current message that were parsed.
   uint64_t parsed_bytes = 0;
   // Whether a byte of the current message was parsed.
@@ -112,8 +142,10 @@
   // Whether the peer has closed its side.
   bool ended = false;
 
+  size_t pending_bytes() const { return pending.size() - pending_begin; }
   void Begin() {
     parsed_bytes = 0;
+    head_bytes = 0;
     started = false;
     checked = false;
     ended = false;
@@ -133,27 +165,36 @@
   auto Visit(Visitor&& visitor) {
     return kind == MessageKind::kRequest ? visitor(*request) : visitor(*answer);
   }
+  // Parses the pending bytes and then `bytes`.
+  template <typename Parser>
+  Result<void> Parse(Parser& parser, std::string_view bytes);
+  // Parses the pending bytes and then `bytes`, and keeps those that Beast can't
+  // use yet.
   template <typename Parser>
-  Result<void> Parse(Parser& parser);
-  // Parses pending bytes and keeps those that Beast can't use yet.
+  Result<void> ParsePending(Parser& parser, std::string_view bytes);
+  // Parses `bytes` up to the end of the message and sets `used` to the number
+  // of bytes that Beast used.
   template <typename Parser>
-  Result<void> ParsePending(Parser& parser);
+  Result<void> ParseBytes(Parser& parser, std::string_view bytes, size_t& used);
+  // Drops the first `used` pending bytes.
+  void Consume(size_t used);
   // Beast bounds the head and the body, but not what frames the body.
   template <typename Parser>
   Result<void> CheckFraming(const Parser& parser) const;
 };
 
 template <typename Parser>
-Result<void> HttpParser::Impl::Parse(Parser& parser) {
-  Result<void> parsed = ParsePending(parser);
+Result<void> HttpParser::Impl::Parse(Parser& parser, std::string_view bytes) {
+  Result<void> parsed = ParsePending(parser, bytes);
   if (parsed) {
     parsed = CheckFraming(parser);
   }
   if (!parsed) {
-    pending.clear();
-    pending.shrink_to_fit();
-    parser.body.clear();
-    parser.body.shrink_to_fit();
+    std::string().swap(pending);
+    pending_begin = 0;
+    std::string().swap(parser.body);
+    parser.head = HttpHead();
+    head_bytes = 0;
   }
   return parsed;
 }
@@ -162,7 +203,7 @@
 Result<void> HttpParser::Impl::CheckFraming(const Parser& parser) const {
   // Bytes after a complete message belong to the next one.
   const uint64_t received =
-      parsed_bytes + (parser.is_done() ? 0 : pending.size());
+      parsed_bytes + (parser.is_done() ? 0 : pending_bytes());
   const uint64_t besides_body = received - parser.body_bytes;
   const uint64_t allowed = 2 * uint64_t{limits.header_bytes} +
                            kMaxFramingPerBodyByte * parser.body_bytes;
@@ -176,13 +217,31 @@
 }
 
 template <typename Parser>
-Result<void> HttpParser::Impl::ParsePending(Parser& parser) {
+Result<void> HttpParser::Impl::ParsePending(Parser& parser,
+                                            std::string_view bytes) {
   size_t used = 0;
-  while (!parser.is_done() && used < pending.size()) {
+  if (pending_bytes() == 0) {
+    // Most messages arrive at once and need no buffer.
+    BOOST_OUTCOME_TRYV(ParseBytes(parser, bytes, used));
+    AppendWithin(pending, bytes.substr(used), 0);
+  } else {
+    AppendWithin(pending, bytes, pending.size() / 4 * 5);
+    BOOST_OUTCOME_TRYV(ParseBytes(
+        parser, std::string_view(pending).substr(pending_begin), used));
+    Consume(used);
+  }
+  parsed_bytes += used;
+  return Ok();
+}
+
+template <typename Parser>
+Result<void> HttpParser::Impl::ParseBytes(Parser& parser,
+                                          std::string_view bytes,
+                                          size_t& used) {
+  while (!parser.is_done() && used < bytes.size()) {
     BeastError error;
     const size_t step = parser.put(
-        boost::asio::buffer(pending.data() + used, pending.size() - used),
-        error);
+        boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
     used += step;
     started = true;
     if (error && error != http::error::need_more) {
@@ -190,6 +249,7 @@
     }
     if (!checked && parser.is_header_done()) {
       checked = true;
+      head_bytes = HeadMemory(parser.head);
       if (HasAmbiguousFraming(parser.head)) {
         return Error(ErrorKind::kMalformedRequest, "unclear body framing");
       }
@@ -198,11 +258,26 @@
       break;
     }
   }
-  pending.erase(0, used);
-  parsed_bytes += used;
+  if (parser.is_done() && parser.chunked()) {
+    // The trailer may have added fields.
+    head_bytes = HeadMemory(parser.head);
+  }
   return Ok();
 }
 
+// Moves the rest to the front only when at least as much was parsed, so that
+// many small messages in one buffer are not moved once for each.
+void HttpParser::Impl::Consume(size_t used) {
+  pending_begin += used;
+  if (pending_bytes() == 0) {
+    std::string().swap(pending);
+    pending_begin = 0;
+  } else if (pending_begin > pending.size() / 2) {
+    pending.erase(0, pending_begin);
+    pending_begin = 0;
+  }
+}
+
 HttpParser::HttpParser(MessageKind kind, const ParserLimits& limits)
     : impl_(std::make_unique<Impl>(kind, limits)) {
   impl_->Begin();
@@ -219,8 +294,8 @@
 }
 
 Result<void> HttpParser::Feed(std::string_view bytes) {
-  impl_->pending.append(bytes);
-  return impl_->Visit([&](auto& parser) { return impl_->Parse(parser); });
+  return impl_->Visit(
+      [&](auto& parser) { return impl_->Parse(parser, bytes); });
 }
 
 Result<void> HttpParser::FeedEnd() {
@@ -251,11 +326,15 @@
 }
 
 bool HttpParser::started() const {
-  return impl_->started || !impl_->pending.empty();
+  return impl_->started || impl_->pending_bytes() > 0;
 }
 
 bool HttpParser::has_surplus() const {
-  return done() && !impl_->pending.empty();
+  return surplus_bytes() > 0;
+}
+
+size_t HttpParser::surplus_bytes() const {
+  return done() ? impl_->pending_bytes() : 0;
 }
 
 const HttpHead& HttpParser::head() const {
@@ -280,8 +359,15 @@
 }
 
 size_t HttpParser::held_bytes() const {
-  return impl_->pending.size() +
-         impl_->Visit([](auto& parser) { return parser.body.size(); });
+  return impl_->head_bytes + MemoryOf(impl_->pending) +
+         impl_->Visit([](auto& parser) { return MemoryOf(parser.body); });
+}
+
+void HttpParser::DropFields() {
+  impl_->Visit([this](auto& parser) {
+    parser.head.fields = std::vector<HttpField>();
+    impl_->head_bytes = HeadMemory(parser.head);
+  });
 }
 
 std::string HttpParser::TakeBody() {
--- a/modules/qh_net/http_parser.h
+++ b/modules/qh_net/http_parser.h
@@ -59,13 +59,18 @@
   bool started() const;
   // Whether the message is complete and bytes after it are buffered.
   bool has_surplus() const;
+  // Number of these bytes; zero while the message is incomplete.
+  size_t surplus_bytes() const;
   const HttpHead& head() const;
   BodyFraming framing() const;
   // Whether the connection can be used for another message after this one.
   bool keep_alive() const;
 
-  // Bytes held: those not parsed yet, and the body up to TakeBody.
+  // Memory held, in bytes: for bytes not parsed yet, for the head's fields, and
+  // for the body up to TakeBody. Short fields take many times their bytes.
   size_t held_bytes() const;
+  // Frees the fields of a complete message's head.
+  void DropFields();
 
   // Returns the part of the body read since the last call.
   std::string TakeBody();
--- a/modules/qh_net/http_service.cpp
+++ b/modules/qh_net/http_service.cpp
@@ -11,7 +11,8 @@
 namespace qh {
 namespace {
 
-// A connection on which nothing arrives for this long is closed.
+// A connection on which no complete request arrives, or whose client does not
+// read its answer, for this long is closed.
 constexpr auto kIdleTimeout = std::chrono::seconds(30);
 // Pause after a failed accept.
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
@@ -34,14 +35,24 @@
 class HttpService::Connection
     : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(TcpSocket socket, std::shared_ptr<ByteBudget> budget, Hook answer)
+  Connection(TcpSocket socket,
+             std::shared_ptr<ByteBudget> budget,
+             std::shared_ptr<ConnectionLimiter> limiter,
+             Hook answer)
       : socket_(std::move(socket)),
         idle_(socket_.get_executor()),
         answer_(std::move(answer)),
         parser_(MessageKind::kRequest, {.body_bytes = kMaxBodyBytes}),
-        held_(std::move(budget), HoldPurpose::kControl) {}
+        held_(std::move(budget), HoldPurpose::kControl),
+        slot_(std::move(limiter), MonotonicNow(), [this] { Close(); }) {}
 
-  void Read() {
+  void Start() {
+    ArmTimer();
+    Read();
+  }
+
+ private:
+  void ArmTimer() {
     idle_.expires_after(kIdleTimeout);
     idle_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
@@ -49,11 +60,14 @@
             self->Close();
           }
         });
+  }
+
+  void Read() {
     socket_.async_read_some(
         boost::asio::buffer(in_),
         [self = shared_from_this()](const boost::system::error_code& error,
                                     size_t size) {
-          if (error) {
+          if (error || self->closed_) {
             self->Close();
             return;
           }
@@ -61,21 +75,31 @@
         });
   }
 
- private:
   void OnBytes(size_t size) {
+    const TimePoint now = MonotonicNow();
+    if (!parser_.started()) {
+      slot_.SetPhase(ConnectionPhase::kReceiving, now);
+    }
     if (const auto fed = parser_.Feed({in_.data(), size}); !fed) {
       Refuse(fed.error());
       return;
     }
     // Nobody reads the body.
     parser_.TakeBody();
-    if (!held_.TrySet(parser_.held_bytes())) {
+    if (!Hold(parser_.held_bytes(), now)) {
       Refuse(Error(ErrorKind::kOverloaded, "too much is held already"));
       return;
     }
     AnswerOrRead();
   }
 
+  // Returns false if the connection may not hold `bytes` in all.
+  bool Hold(uint64_t bytes, TimePoint now) {
+    const bool fits = slot_.limiter().TryHold(held_, bytes, &slot_, now);
+    slot_.SetHeld(fits ? bytes : 0);
+    return fits;
+  }
+
   void Refuse(const Error& error) {
     boost::system::error_code ignored;
     LogLine("control_request_refused")
@@ -92,26 +116,46 @@
     }
     const bool keep_alive = parser_.keep_alive();
     out_ = Serialize(answer_(parser_.head()), keep_alive);
-    held_.Set(out_.size() + parser_.held_bytes());
+    const TimePoint now = MonotonicNow();
+    slot_.SetPhase(ConnectionPhase::kSending, now);
+    if (!Hold(MemoryOf(out_) + parser_.held_bytes(), now)) {
+      Refuse(Error(ErrorKind::kOverloaded, "too much is held for the answer"));
+      return;
+    }
     boost::asio::async_write(
         socket_, boost::asio::buffer(out_),
         [self = shared_from_this(), keep_alive](
             const boost::system::error_code& error, size_t /*size*/) {
-          self->out_ = {};
-          self->held_.Set(self->parser_.held_bytes());
-          if (error || !keep_alive || !self->parser_.Next()) {
+          std::string().swap(self->out_);
+          if (error || self->closed_ || !keep_alive || !self->parser_.Next()) {
             self->Close();
             return;
           }
+          const TimePoint now = MonotonicNow();
+          self->slot_.SetPhase(ConnectionPhase::kIdle, now);
+          if (self->parser_.started()) {
+            self->slot_.SetPhase(ConnectionPhase::kReceiving, now);
+          }
+          self->held_.Set(self->parser_.held_bytes());
+          self->slot_.SetHeld(self->parser_.held_bytes());
+          self->ArmTimer();
           self->AnswerOrRead();
         });
   }
 
+  // Ends the connection and frees what it holds.
   void Close() {
+    if (std::exchange(closed_, true)) {
+      return;
+    }
     idle_.cancel();
     boost::system::error_code ignored;
     socket_.shutdown(TcpSocket::shutdown_both, ignored);
     socket_.close(ignored);
+    slot_.Release();
+    parser_ = HttpParser(MessageKind::kRequest, {});
+    std::string().swap(out_);
+    held_.Set(0);
   }
 
   TcpSocket socket_;
@@ -120,6 +164,8 @@
   HttpParser parser_;
   // What the parser holds, and the answer that is being written.
   HeldBytes held_;
+  ConnectionSlot slot_;
+  bool closed_ = false;
   std::string out_;
   std::array<char, 4U << 10U> in_{};
 };
@@ -128,19 +174,23 @@
     boost::asio::io_context& io,
     const Address& address,
     Hook answer,
-    std::shared_ptr<ByteBudget> budget) {
+    std::shared_ptr<ByteBudget> budget,
+    std::shared_ptr<ConnectionLimiter> limiter) {
   BOOST_OUTCOME_TRY(acceptor, Listen(io, address));
-  std::shared_ptr<HttpService> service(new HttpService(
-      std::move(acceptor), std::move(budget), std::move(answer)));
+  std::shared_ptr<HttpService> service(
+      new HttpService(std::move(acceptor), std::move(budget),
+                      std::move(limiter), std::move(answer)));
   service->Accept();
   return service;
 }
 
 HttpService::HttpService(TcpAcceptor acceptor,
                          std::shared_ptr<ByteBudget> budget,
+                         std::shared_ptr<ConnectionLimiter> limiter,
                          Hook answer)
     : acceptor_(std::move(acceptor)),
       budget_(std::move(budget)),
+      limiter_(std::move(limiter)),
       answer_(std::move(answer)) {}
 
 void HttpService::Stop() {
@@ -166,10 +216,12 @@
           });
           return;
         }
-        TuneSocket(socket);
-        std::make_shared<Connection>(std::move(socket), self->budget_,
-                                     self->answer_)
-            ->Read();
+        if (self->limiter_->MakeRoom(MonotonicNow())) {
+          TuneSocket(socket);
+          std::make_shared<Connection>(std::move(socket), self->budget_,
+                                       self->limiter_, self->answer_)
+              ->Start();
+        }
         self->Accept();
       });
 }
--- a/modules/qh_net/http_service.h
+++ b/modules/qh_net/http_service.h
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "qh_net/byte_budget.h"
+#include "qh_net/connection_limiter.h"
 #include "qh_net/http_head.h"
 #include "qh_net/socket_options.h"
 
@@ -32,13 +33,15 @@
   static constexpr uint64_t kMaxBodyBytes = uint64_t{64} << 10U;
 
   // Listens on `address` and calls `answer` for each request. Requests and
-  // unsent answers are counted in `budget` unless that is null. Fails as Listen
-  // does.
+  // unsent answers are counted in `budget` unless that is null, and connections
+  // in `limiter`. Fails as Listen does.
   static Result<std::shared_ptr<HttpService>> Start(
       boost::asio::io_context& io,
       const Address& address,
       Hook answer,
-      std::shared_ptr<ByteBudget> budget = nullptr);
+      std::shared_ptr<ByteBudget> budget = nullptr,
+      std::shared_ptr<ConnectionLimiter> limiter =
+          std::make_shared<ConnectionLimiter>("", ConnectionLimiter::kNoLimit));
 
   // Stops accepting connections. Open ones stay until their clients close them
   // or they have been idle for too long.
@@ -49,11 +52,13 @@
 
   HttpService(TcpAcceptor acceptor,
               std::shared_ptr<ByteBudget> budget,
+              std::shared_ptr<ConnectionLimiter> limiter,
               Hook answer);
   void Accept();
 
   TcpAcceptor acceptor_;
   std::shared_ptr<ByteBudget> budget_;
+  std::shared_ptr<ConnectionLimiter> limiter_;
   Hook answer_;
 };
 
--- a/modules/qh_net/socket_options.cpp
+++ b/modules/qh_net/socket_options.cpp
@@ -1,7 +1,9 @@
 #include "qh_net/socket_options.h"
 
 #include <netinet/tcp.h>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 
@@ -26,6 +28,8 @@
 // Unanswered probes that end the connection; Linux only counts them if there is
 // no TCP_USER_TIMEOUT.
 constexpr int kKeepAliveProbes = 2;
+// Used if the system doesn't say how many files may be open.
+constexpr uint64_t kFilesIfUnknown = 1'024;
 // Connections that may wait to be accepted.
 constexpr int kBacklog = 1'024;
 
@@ -88,6 +92,14 @@
   return acceptor;
 }
 
+uint64_t MaxOpenFiles(uint64_t configured) {
+  rlimit files{};
+  const uint64_t allowed = getrlimit(RLIMIT_NOFILE, &files) == 0
+                               ? uint64_t{files.rlim_cur}
+                               : kFilesIfUnknown;
+  return configured == 0 ? allowed : std::min(configured, allowed);
+}
+
 Result<Address> ParseAddress(std::string_view text) {
   const size_t colon = text.rfind(':');
   if (colon != std::string_view::npos) {
--- a/modules/qh_net/socket_options.h
+++ b/modules/qh_net/socket_options.h
@@ -46,6 +46,10 @@
 // is not an IP address, and with kInternal if the system refuses.
 Result<TcpAcceptor> Listen(boost::asio::io_context& io, const Address& address);
 
+// Returns how many files and sockets the process may have open: what the system
+// allows it, or `configured` if that is fewer and not zero.
+uint64_t MaxOpenFiles(uint64_t configured);
+
 // Parses "host:port", split at the last colon. Fails with kConfigInvalid.
 Result<Address> ParseAddress(std::string_view text);
 
--- a/tests/qh_net/http_parser_test.cpp
+++ b/tests/qh_net/http_parser_test.cpp
@@ -103,6 +103,40 @@
   CHECK(parser.held_bytes() == 0);
 }
 
+// Guards against heads whose short fields take many times their bytes, and
+// against buffers that a connection keeps between requests.
+TEST_CASE("held bytes count what fields and buffers take") {
+  constexpr size_t kFields = 1'000;
+  HttpParser parser = RequestParser();
+  std::string text = "POST / HTTP/1.1\r\n";
+  for (size_t i = 0; i < kFields; ++i) {
+    text += "a:\r\n";
+  }
+  REQUIRE(parser.Feed(text + "Content-Length: 3\r\n\r\nab"));
+  CHECK(parser.held_bytes() >= kFields * sizeof(HttpField));
+  REQUIRE(parser.Feed("c" + std::string(kPost)));
+  CHECK(parser.surplus_bytes() == kPost.size());
+  CHECK(parser.TakeBody() == "abc");
+  parser.DropFields();
+  CHECK(parser.held_bytes() < 4 * kPost.size());
+  REQUIRE(parser.Next());
+  CHECK(parser.TakeBody() == "hello");
+  REQUIRE(parser.Next());
+  CHECK(parser.held_bytes() == 0);
+}
+
+TEST_CASE("a body of known length takes no more than that") {
+  constexpr size_t kBody = 100'000;
+  HttpParser parser = RequestParser();
+  REQUIRE(parser.Feed("POST / HTTP/1.1\r\nContent-Length: " +
+                      std::to_string(kBody) + "\r\n\r\n"));
+  for (size_t sent = 0; sent < kBody; sent += 1'000) {
+    REQUIRE(parser.Feed(std::string(1'000, 'x')));
+    CHECK(parser.held_bytes() < kBody + 1'000);
+  }
+  CHECK(parser.done());
+}
+
 TEST_CASE("a body in small chunks with extensions and trailers is accepted") {
   const auto chunk =
       GENERATE(as<std::string>(), "1\r\nx\r\n", "0001;a=b\r\nx\r\n");
--- a/tests/untrusted_clients/gateway_process.cpp
+++ b/tests/untrusted_clients/gateway_process.cpp
@@ -134,9 +134,10 @@
       server_(io_, [this](size_t, const HttpHead& head) {
         ++served_requests_;
         const bool large = head.target.find("/large/") != std::string::npos;
-        return ScriptedReply{.bytes = StampedAnswer(
-                                 200, large ? std::string(kLargeAnswerBytes, 'x')
-                                            : std::string("ok"))};
+        return ScriptedReply{
+            .bytes =
+                StampedAnswer(200, large ? std::string(kLargeAnswerBytes, 'x')
+                                         : std::string("ok"))};
       }) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "qh-gateway-XXXXXX").string();
--- a/tests/untrusted_clients/untrusted_clients_test.cpp
+++ b/tests/untrusted_clients/untrusted_clients_test.cpp
@@ -35,12 +35,12 @@
 
 // A body of legal size without its last byte.
 ClientBehaviour UnfinishedBody(const std::string& path, size_t body_bytes) {
-  return {.name = "unfinished bodies in one piece",
-          .clients = kLargeBodyClients,
-          .bytes = Head("POST", path,
-                        "Content-Length: " + std::to_string(body_bytes) +
-                            "\r\n") +
-                   std::string(body_bytes - 1, 'x')};
+  return {
+      .name = "unfinished bodies in one piece",
+      .clients = kLargeBodyClients,
+      .bytes = Head("POST", path,
+                    "Content-Length: " + std::to_string(body_bytes) + "\r\n") +
+               std::string(body_bytes - 1, 'x')};
 }
 
 ClientBehaviour UnfinishedBodyInPieces(const std::string& path,
@@ -102,11 +102,10 @@
 }
 
 ClientBehaviour StoppedHalfway(const std::string& path) {
-  return {
-      .name = "clients that stop within the body",
-      .clients = kSlowClients,
-      .bytes = Head("POST", path, "Content-Length: 2000\r\n") +
-               std::string(1'000, 'x')};
+  return {.name = "clients that stop within the body",
+          .clients = kSlowClients,
+          .bytes = Head("POST", path, "Content-Length: 2000\r\n") +
+                   std::string(1'000, 'x')};
 }
 
 ClientBehaviour SlowReaders(const std::string& path) {
@@ -135,8 +134,7 @@
   const bool alive = gateway.is_alive();
   // Kept in the output of a run with -s.
   INFO("peak " << peak_kb << " KiB, " << descriptors << " descriptors, alive "
-               << alive << ", answered " << status << " and "
-               << caller_status);
+               << alive << ", answered " << status << " and " << caller_status);
   CHECK(alive);
   CHECK(peak_kb < GatewayProcess::kMaxResidentKb);
   CHECK(descriptors < GatewayProcess::kMaxDescriptors);
