Team limits hold through a flood: even shares while a team is refused

Cause: a node assumed that its peers had used a quarter of what it had used itself since their last reports, and deducted their reported rate only as far as it exceeds the limit's. The window, unlike the bucket, gets back only what leaves it.

Change: the window deducts what peers report beyond what leaves it. After a refusal a node admits its even share of what the limit grants (TeamLimitOrder), divided by priority and size without debts, and tells refused callers to return one after the other. Refusals name priority, units and wait in the log line and in gateway_team_limit_* metrics.

--- a/modules/qh_gateway/decisions/limits/sliding_window_sum.cpp
+++ b/modules/qh_gateway/decisions/limits/sliding_window_sum.cpp
@@ -47,6 +47,17 @@
   return sum_;
 }
 
+double SlidingWindowSum::LeavingWithin(Duration time, TimePoint now) {
+  Advance(now);
+  const auto size = static_cast<int64_t>(slots_.size());
+  const int64_t slots = std::min(time / slot_length_, size - 1);
+  double leaving = 0;
+  for (int64_t i = 1; i <= slots; ++i) {
+    leaving += slots_[(newest_ + i) % size];
+  }
+  return leaving;
+}
+
 Duration SlidingWindowSum::TimeUntilAtMost(double target, TimePoint now) {
   Advance(now);
   const auto size = static_cast<int64_t>(slots_.size());
--- a/modules/qh_gateway/decisions/limits/sliding_window_sum.h
+++ b/modules/qh_gateway/decisions/limits/sliding_window_sum.h
@@ -24,6 +24,8 @@
   // Returns the sum of the window that ends at `now`. Units count for up to one
   // slot longer than the window, never shorter.
   double Sum(TimePoint now);
+  // Returns how much of the sum leaves the window in `time` from `now`.
+  double LeavingWithin(Duration time, TimePoint now);
   // Returns the time from `now` until the sum is at most `target`, provided
   // that nothing is added. Never longer than the window.
   Duration TimeUntilAtMost(double target, TimePoint now);
--- a/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
+++ b/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
@@ -58,6 +58,8 @@
       account.unreported = known->second.unreported;
       account.largest_unreported = known->second.largest_unreported;
       account.reported = known->second.reported;
+      account.contended_until = known->second.contended_until;
+      account.order = known->second.order;
     } else {
       const double free = kStartupBurstShare * account.burst;
       account.level = free * (1 - UnresponsiveShare());
@@ -90,6 +92,7 @@
 }
 
 double TeamRateLimiter::EstimatedPeerUse(Account& account,
+                                         double free,
                                          TimePoint now) const {
   const size_t responsive = peers_ - std::min(unresponsive_, peers_);
   const double of_one_request =
@@ -98,19 +101,30 @@
   const double of_others =
       static_cast<double>(responsive) *
       std::max(0.0, account.unreported - account.largest_unreported);
-  // Up to the limit's own rate, the use is made up for by what is granted
-  // meanwhile.
-  const double excess_rate =
-      account.reported.Sum(now) / ToSeconds(kPeerRateWindow) -
-      WindowGrant(account) / ToSeconds(allowance_.window);
-  const double by_rate = std::max(0.0, excess_rate) * ToSeconds(report_age_);
+  const double by_rate = account.reported.Sum(now) * ToSeconds(report_age_) /
+                             ToSeconds(kPeerRateWindow) -
+                         free;
   return std::max(kPeerUseEstimate * (of_one_request + of_others), by_rate);
 }
 
 double TeamRateLimiter::AvailableUnits(Account& account, TimePoint now) const {
   Fill(account, now);
-  return std::min(WindowHeadroom(account, now), account.level) -
-         EstimatedPeerUse(account, now);
+  // Until the next reports, the bucket is refilled, but the window gets back
+  // only what leaves it, which may be little after a quiet time.
+  const double refill = WindowGrant(account) / ToSeconds(allowance_.window) *
+                        ToSeconds(report_age_);
+  const double leaving = account.used.LeavingWithin(report_age_, now);
+  return std::min(
+      WindowHeadroom(account, now) - EstimatedPeerUse(account, leaving, now),
+      account.level - EstimatedPeerUse(account, refill, now));
+}
+
+double TeamRateLimiter::ShareRate(const Account& account,
+                                  double available) const {
+  const double refill = WindowGrant(account) / ToSeconds(allowance_.window);
+  const double reserve = kContendedReserve * BucketCapacity(account);
+  const double factor = std::clamp(available / reserve, 0.0, kMaxShareFactor);
+  return factor * refill / static_cast<double>(peers_ + 1);
 }
 
 double TeamRateLimiter::Available(const TeamId& team, TimePoint now) {
@@ -120,8 +134,9 @@
 }
 
 std::optional<Duration> TeamRateLimiter::Admit(const TeamId& team,
-                                               double units,
+                                               const LimitedRequest& request,
                                                TimePoint now) {
+  const double units = request.units;
   const auto found = accounts_.find(team);
   if (found == accounts_.end()) {
     totals_[team] += units;
@@ -129,13 +144,29 @@
   }
   Account& account = found->second;
   const double available = AvailableUnits(account, now);
+  TeamLimitOrder& order = account.order;
+  order.Fill(ShareRate(account, available), now);
+  order.OnRequest(request.priority, units, now);
+  if (now < account.contended_until) {
+    if (const auto wait = order.WaitFor(request.priority, units)) {
+      const Duration told = std::max<Duration>(*wait, kMinWait);
+      account.contended_until = now + kContendedTime;
+      order.OnToldToReturn(request.priority, units, told, now);
+      return told;
+    }
+  }
   const double required_level =
       std::min(units, kNearlyFullShare * BucketCapacity(account));
   const double needed = std::max(
       required_level - kRequestHeadroom * WindowAllowance(account), 0.0);
   if (available < needed || available <= 0) {
+    if (now >= account.contended_until) {
+      order.Reset(now);
+    }
+    account.contended_until = now + kContendedTime;
     return WaitFor(account, needed - available, now);
   }
+  order.Take(request.priority, units);
   Use(account, units, now);
   account.unreported += units;
   account.largest_unreported = std::max(account.largest_unreported, units);
@@ -160,7 +191,8 @@
 void TeamRateLimiter::Refund(const TeamId& team,
                              double units,
                              TimePoint admitted,
-                             TimePoint now) {
+                             TimePoint now,
+                             int priority) {
   // After a window the request doesn't count any more.
   if (now - admitted >= allowance_.window) {
     return;
@@ -170,6 +202,7 @@
   if (found != accounts_.end()) {
     Account& account = found->second;
     Use(account, -units, now);
+    account.order.GiveBack(priority, units);
     account.unreported = std::max(0.0, account.unreported - units);
     account.largest_unreported =
         std::min(account.largest_unreported, account.unreported);
--- a/modules/qh_gateway/decisions/limits/team_rate_limiter.h
+++ b/modules/qh_gateway/decisions/limits/team_rate_limiter.h
@@ -21,10 +21,20 @@
 #include "qh_core/time/time.h"
 #include "qh_gateway/decisions/limits/cumulative_totals.h"
 #include "qh_gateway/decisions/limits/sliding_window_sum.h"
+#include "qh_gateway/decisions/limits/team_limit_order.h"
 #include "qh_gateway/model/service_config.h"
 
 namespace qh {
 
+// A request as a team's limit sees it.
+struct LimitedRequest {
+  double units = 0;
+  // 0 is the most urgent.
+  int priority = 0;
+  // Until the request's deadline.
+  Duration time_left = Duration::max();
+};
+
 // What another process has admitted since its start: a peer, or a relay that
 // reports for several nodes.
 struct PeerUse {
@@ -68,6 +78,17 @@
   // its limit seldom has, count for all peers.
   static constexpr size_t kMaxPeersOfOneRequest = 8;
 
+  // A team that was refused a request within this time is contended: each node
+  // admits its even share of what the limit grants, in the order of
+  // TeamLimitOrder.
+  static constexpr Duration kContendedTime = std::chrono::seconds(2);
+  // The shares together grant up to this multiple of the limit's rate while
+  // much is available.
+  static constexpr double kMaxShareFactor = 2;
+  // They grant the limit's rate itself while this share of the bucket is
+  // available. It covers what peers admit before they report it.
+  static constexpr double kContendedReserve = 0.15;
+
   // The peers' rate is measured over this time.
   static constexpr Duration kPeerRateWindow = std::chrono::milliseconds(500);
 
@@ -80,8 +101,13 @@
   // Admits a request of `units` if the team's limit allows, and counts the
   // units. Returns nullopt if admitted, else the time after which it could be.
   std::optional<Duration> Admit(const TeamId& team,
-                                double units,
+                                const LimitedRequest& request,
                                 TimePoint now);
+  std::optional<Duration> Admit(const TeamId& team,
+                                double units,
+                                TimePoint now) {
+    return Admit(team, {.units = units}, now);
+  }
   // Returns the units that the team may use at `now`, as far as this node
   // knows; infinity without a limit.
   double Available(const TeamId& team, TimePoint now);
@@ -90,7 +116,8 @@
   void Refund(const TeamId& team,
               double units,
               TimePoint admitted,
-              TimePoint now);
+              TimePoint now,
+              int priority = 0);
 
   // Another process's totals arrived.
   void OnPeer(const PeerUse& use, TimePoint now);
@@ -121,6 +148,9 @@
     // request in it.
     double unreported = 0;
     double largest_unreported = 0;
+    // Until when the team is contended, and the order in that time.
+    TimePoint contended_until;
+    TeamLimitOrder order;
     // What the peers reported lately, from which their rate is taken.
     SlidingWindowSum reported = SlidingWindowSum(kPeerRateWindow);
   };
@@ -139,9 +169,12 @@
   // Units that may still be used in the window that ends at `now`.
   double WindowHeadroom(Account& account, TimePoint now) const;
   // Returns the estimated use of the peers that they have not reported yet: by
-  // what this node has used meanwhile, or by the rate of their last reports if
-  // that is more.
-  double EstimatedPeerUse(Account& account, TimePoint now) const;
+  // what this node has used meanwhile, or by the rate of their last reports,
+  // less the units that become `free` until the next reports, if that is more.
+  double EstimatedPeerUse(Account& account, double free, TimePoint now) const;
+  // Units per second that this node admits of a contended team, of which
+  // `available` units are left.
+  double ShareRate(const Account& account, double available) const;
   // Units that the window and the bucket allow, less the estimated use that
   // peers have not reported yet.
   double AvailableUnits(Account& account, TimePoint now) const;
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -71,6 +71,8 @@
   bool AuthenticateTeam();
   bool CheckBlockedFeatures();
   bool ChargeTeamLimit();
+  // Answers a request of `units` that the team's limit doesn't admit now.
+  void RefuseByTeamLimit(double units, Duration wait, TimePoint now);
 
   // Attempts: picks a server, gets a connection to it and sends the request.
   Result<ServerPick> Choose(TimePoint now);
--- a/modules/qh_gateway/forwarding/exchange_admission.cpp
+++ b/modules/qh_gateway/forwarding/exchange_admission.cpp
@@ -1,6 +1,7 @@
 // The part of Exchange with the admission checks.
 
 #include <algorithm>
+#include <utility>
 
 #include "qh_gateway/forwarding/exchange.h"
 
@@ -138,23 +139,40 @@
                                double{1} * request_.max_output_tokens
                          : team_->default_tokens;
   }
-  const auto wait =
-      state_.team_rate_limiter.Admit(team_->id, charged_units_, MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  const auto wait = state_.team_rate_limiter.Admit(
+      team_->id, {.units = charged_units_, .priority = Priority()}, now);
   if (wait) {
-    const double available =
-        state_.team_rate_limiter.Available(team_->id, MonotonicNow());
-    const std::string requested =
-        std::to_string(static_cast<int64_t>(charged_units_));
-    charged_units_ = 0;
-    AnswerWithError(Error(ErrorKind::kTeamLimit,
-                          "team limit: " + requested + " units requested, " +
-                              std::to_string(static_cast<int64_t>(available)) +
-                              " available, rate " +
-                              std::to_string(static_cast<int64_t>(team_->rate)))
-                        .WithRetryAfter(*wait));
+    const double units = std::exchange(charged_units_, 0);
+    RefuseByTeamLimit(units, *wait, now);
     return false;
   }
   return true;
 }
 
+void Exchange::RefuseByTeamLimit(double units, Duration wait, TimePoint now) {
+  const double available = state_.team_rate_limiter.Available(team_->id, now);
+  const std::string priority = std::to_string(Priority());
+  state_.metrics.Count({.name = "gateway_team_limit_refusals_total",
+                        .team = team_->id.value(),
+                        .reason = "priority_" + priority});
+  state_.metrics.Count({.name = "gateway_team_limit_refused_units_total",
+                        .team = team_->id.value(),
+                        .reason = "priority_" + priority},
+                       static_cast<uint64_t>(std::max(units, 0.0)));
+  state_.metrics.Set(
+      {.name = "gateway_team_limit_available", .team = team_->id.value()},
+      available);
+  const auto text = [](double number) {
+    return std::to_string(static_cast<int64_t>(number));
+  };
+  AnswerWithError(
+      Error(ErrorKind::kTeamLimit,
+            "team limit: " + text(units) + " units requested at priority " +
+                priority + ", " + text(available) + " available, rate " +
+                text(team_->rate) + ", back in " + text(ToMilliseconds(wait)) +
+                " ms" + (wait > TimeLeft(now) ? ", after its deadline" : ""))
+          .WithRetryAfter(wait));
+}
+
 }  // namespace qh
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -104,7 +104,7 @@
   state_.stop_listeners.erase(this);
   if (!may_have_run_ && team_ != nullptr && charged_units_ > 0) {
     state_.team_rate_limiter.Refund(team_->id, charged_units_, received_,
-                                    MonotonicNow());
+                                    MonotonicNow(), Priority());
   }
   deadline_timer_.cancel();
   stall_timer_.cancel();
