--- a/modules/qh_gateway/decisions/limits/team_limit_order.cpp
+++ b/modules/qh_gateway/decisions/limits/team_limit_order.cpp
@@ -65,8 +65,9 @@
   }
 }
 
-void TeamLimitOrder::Fill(double rate, TimePoint now) {
+void TeamLimitOrder::Fill(double rate, double usual_rate, TimePoint now) {
   rate_ = rate;
+  usual_rate_ = usual_rate;
   const double seconds = std::max(0.0, ToSeconds(now - filled_));
   filled_ = now;
   const double kept = std::exp(-seconds / ToSeconds(kDemandTime));
@@ -80,6 +81,7 @@
       requests.owed -= it->second;
     }
     requests.returns.erase(requests.returns.begin(), end);
+    requests.owed = requests.returns.empty() ? 0 : requests.owed;
   }
 }
 
@@ -104,10 +106,22 @@
     return std::nullopt;
   }
   const Class& requests = found->second;
-  const double missing = units - requests.saved + std::max(0.0, requests.owed);
-  return FromSeconds(requests.rate <= 0
+  return TimeFor(requests, units - requests.saved + requests.owed);
+}
+
+Duration TeamLimitOrder::TimeFor(const Class& requests, double units) const {
+  const double class_rate =
+      rate_ <= 0 ? 0 : usual_rate_ * requests.rate / rate_;
+  return FromSeconds(class_rate <= 0
                          ? kMaxWaitS
-                         : std::min(kMaxWaitS, missing / requests.rate));
+                         : std::clamp(units / class_rate, 0.0, kMaxWaitS));
+}
+
+Duration TeamLimitOrder::TimeForReturning(int priority, double units) const {
+  const auto found = classes_.find(KeyOf(priority, units));
+  return found == classes_.end() || found->second.owed <= 0
+             ? Duration::zero()
+             : TimeFor(found->second, found->second.owed);
 }
 
 void TeamLimitOrder::Take(int priority, double units) {
--- a/modules/qh_gateway/decisions/limits/team_limit_order.h
+++ b/modules/qh_gateway/decisions/limits/team_limit_order.h
@@ -35,13 +35,17 @@
   // Priorities of this and above are one class.
   static constexpr int kLeastPriority = 9;
 
-  // Adds what this node may admit from now on, in units per second.
-  void Fill(double rate, TimePoint now);
+  // Adds what this node may admit from now on, in units per second. Waits are
+  // told as if that were `usual_rate`.
+  void Fill(double rate, double usual_rate, TimePoint now);
   // Notes a request that arrived, whether it is admitted or not.
   void OnRequest(int priority, double units, TimePoint now);
   // Returns nullopt if the request's class has saved its units, else the time
   // until it will have, after those that were refused before it.
   std::optional<Duration> WaitFor(int priority, double units) const;
+  // Returns the time until those refused before a request of this class have
+  // got their units.
+  Duration TimeForReturning(int priority, double units) const;
   // Takes the units of an admitted request.
   void Take(int priority, double units);
   // Gives back the units of an admitted request that didn't run.
@@ -71,6 +75,8 @@
 
   Key KeyOf(int priority, double units) const;
   static double Capacity(const Class& requests);
+  // Returns the time in which the class usually gets `units`.
+  Duration TimeFor(const Class& requests, double units) const;
   // Sets what each class gets of `rate`.
   void Divide(double rate);
 
@@ -78,6 +84,7 @@
   double mean_units_ = 0;
   // What this node may admit now, in units per second.
   double rate_ = 0;
+  double usual_rate_ = 0;
   TimePoint filled_;
 };
 
--- a/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
+++ b/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
@@ -119,12 +119,15 @@
       account.level - EstimatedPeerUse(account, refill, now));
 }
 
-double TeamRateLimiter::ShareRate(const Account& account,
-                                  double available) const {
-  const double refill = WindowGrant(account) / ToSeconds(allowance_.window);
+double TeamRateLimiter::EvenShare(const Account& account) const {
+  return WindowGrant(account) / ToSeconds(allowance_.window) /
+         static_cast<double>(peers_ + 1);
+}
+
+double TeamRateLimiter::ShareFactor(const Account& account,
+                                    double available) const {
   const double reserve = kContendedReserve * BucketCapacity(account);
-  const double factor = std::clamp(available / reserve, 0.0, kMaxShareFactor);
-  return factor * refill / static_cast<double>(peers_ + 1);
+  return std::clamp(available / reserve, kMinShareFactor, kMaxShareFactor);
 }
 
 double TeamRateLimiter::Available(const TeamId& team, TimePoint now) {
@@ -145,14 +148,12 @@
   Account& account = found->second;
   const double available = AvailableUnits(account, now);
   TeamLimitOrder& order = account.order;
-  order.Fill(ShareRate(account, available), now);
+  order.Fill(ShareFactor(account, available) * EvenShare(account),
+             EvenShare(account), now);
   order.OnRequest(request.priority, units, now);
   if (now < account.contended_until) {
     if (const auto wait = order.WaitFor(request.priority, units)) {
-      const Duration told = std::max<Duration>(*wait, kMinWait);
-      account.contended_until = now + kContendedTime;
-      order.OnToldToReturn(request.priority, units, told, now);
-      return told;
+      return Refuse(account, request, *wait, now);
     }
   }
   const double required_level =
@@ -160,11 +161,9 @@
   const double needed = std::max(
       required_level - kRequestHeadroom * WindowAllowance(account), 0.0);
   if (available < needed || available <= 0) {
-    if (now >= account.contended_until) {
-      order.Reset(now);
-    }
-    account.contended_until = now + kContendedTime;
-    return WaitFor(account, needed - available, now);
+    const Duration wait = WaitFor(account, needed - available, now);
+    return Refuse(account, request,
+                  wait + order.TimeForReturning(request.priority, units), now);
   }
   order.Take(request.priority, units);
   Use(account, units, now);
@@ -174,6 +173,22 @@
   return std::nullopt;
 }
 
+Duration TeamRateLimiter::Refuse(Account& account,
+                                 const LimitedRequest& request,
+                                 Duration wait,
+                                 TimePoint now) {
+  if (now >= account.contended_until) {
+    account.order.Reset(now);
+  }
+  account.contended_until = now + kContendedTime;
+  const Duration told = std::max<Duration>(wait, kMinWait);
+  // Callers come back only after a small part of their time left.
+  if (told <= request.time_left / kReturnShare) {
+    account.order.OnToldToReturn(request.priority, request.units, told, now);
+  }
+  return told;
+}
+
 Duration TeamRateLimiter::WaitFor(Account& account,
                                   double missing,
                                   TimePoint now) const {
--- a/modules/qh_gateway/decisions/limits/team_rate_limiter.h
+++ b/modules/qh_gateway/decisions/limits/team_rate_limiter.h
@@ -82,13 +82,17 @@
   // admits its even share of what the limit grants, in the order of
   // TeamLimitOrder.
   static constexpr Duration kContendedTime = std::chrono::seconds(2);
-  // The shares together grant up to this multiple of the limit's rate while
-  // much is available.
+  // The shares together grant between these multiples of the limit's rate,
+  // depending on how much is available.
+  static constexpr double kMinShareFactor = 0.1;
   static constexpr double kMaxShareFactor = 2;
   // They grant the limit's rate itself while this share of the bucket is
   // available. It covers what peers admit before they report it.
   static constexpr double kContendedReserve = 0.15;
 
+  // Callers honour a Retry-After of up to their time left divided by this.
+  static constexpr int kReturnShare = 3;
+
   // The peers' rate is measured over this time.
   static constexpr Duration kPeerRateWindow = std::chrono::milliseconds(500);
 
@@ -172,9 +176,17 @@
   // what this node has used meanwhile, or by the rate of their last reports,
   // less the units that become `free` until the next reports, if that is more.
   double EstimatedPeerUse(Account& account, double free, TimePoint now) const;
-  // Units per second that this node admits of a contended team, of which
-  // `available` units are left.
-  double ShareRate(const Account& account, double available) const;
+  // This node's even share of what the limit grants, in units per second.
+  double EvenShare(const Account& account) const;
+  // Multiple of its even share that this node admits of a contended team with
+  // `available` units left.
+  double ShareFactor(const Account& account, double available) const;
+  // Notes that the request is refused because it needs `wait`; returns when its
+  // caller is to come back.
+  Duration Refuse(Account& account,
+                  const LimitedRequest& request,
+                  Duration wait,
+                  TimePoint now);
   // Units that the window and the bucket allow, less the estimated use that
   // peers have not reported yet.
   double AvailableUnits(Account& account, TimePoint now) const;
--- a/modules/qh_gateway/forwarding/exchange_admission.cpp
+++ b/modules/qh_gateway/forwarding/exchange_admission.cpp
@@ -140,8 +140,11 @@
                          : team_->default_tokens;
   }
   const TimePoint now = MonotonicNow();
-  const auto wait = state_.team_rate_limiter.Admit(
-      team_->id, {.units = charged_units_, .priority = Priority()}, now);
+  const auto wait = state_.team_rate_limiter.Admit(team_->id,
+                                                   {.units = charged_units_,
+                                                    .priority = Priority(),
+                                                    .time_left = TimeLeft(now)},
+                                                   now);
   if (wait) {
     const double units = std::exchange(charged_units_, 0);
     RefuseByTeamLimit(units, *wait, now);
--- a/tests/qh_gateway/team_limit_order_test.cpp
+++ b/tests/qh_gateway/team_limit_order_test.cpp
@@ -49,7 +49,7 @@
 Served InOrder(uint64_t seed) {
   TeamLimitOrder order;
   return RunBurst(seed, [&](int priority, double units, TimePoint now) {
-    order.Fill(kRate, now);
+    order.Fill(kRate, kRate, now);
     order.OnRequest(priority, units, now);
     if (order.WaitFor(priority, units)) {
       return false;
@@ -96,7 +96,7 @@
   TeamLimitOrder order;
   std::map<Duration, int> waits;
   for (int i = 0; i < 10; ++i) {
-    order.Fill(10'000, kStart);
+    order.Fill(10'000, 10'000, kStart);
     order.OnRequest(0, 1'000, kStart);
     const auto wait = order.WaitFor(0, 1'000);
     REQUIRE(wait);
@@ -110,7 +110,7 @@
   int admitted = 0;
   for (const auto& [wait, count] : waits) {
     waited = wait;
-    order.Fill(10'000, kStart + wait + milliseconds(1));
+    order.Fill(10'000, 10'000, kStart + wait + milliseconds(1));
     order.OnRequest(0, 1'000, kStart + wait + milliseconds(1));
     if (!order.WaitFor(0, 1'000)) {
       order.Take(0, 1'000);
@@ -127,7 +127,7 @@
   double admitted = 0;
   for (int i = 0; i < 1'000; ++i) {
     const TimePoint now = kStart + milliseconds(10 * i);
-    order.Fill(kRate, now);
+    order.Fill(kRate, kRate, now);
     order.OnRequest(2, 1'000, now);
     if (!order.WaitFor(2, 1'000)) {
       order.Take(2, 1'000);
--- a/tests/qh_gateway/team_limit_simulation.cpp
+++ b/tests/qh_gateway/team_limit_simulation.cpp
@@ -325,7 +325,12 @@
   const size_t node = ready[rng_.Below(ready.size())];
   Process& process = *processes_[node];
   RequestCounts& counts = CountsOf(request);
-  const auto wait = process.limiter.Admit(kTeam, request.units, now_);
+  const auto wait =
+      process.limiter.Admit(kTeam,
+                            {.units = request.units,
+                             .priority = request.priority,
+                             .time_left = request.deadline - now_},
+                            now_);
   if (!wait) {
     if (rng_.Chance(load_.refund_share)) {
       refunds_.emplace(now_ + rng_.Between(milliseconds(5), seconds(2)),
