--- a/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
+++ b/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
@@ -60,6 +60,8 @@
       account.reported = known->second.reported;
       account.used_since_added = known->second.used_since_added;
       account.assumes_full_use = known->second.assumes_full_use;
+      account.contended_until = known->second.contended_until;
+      account.order = known->second.order;
     } else {
       const double free = kStartupBurstShare * account.burst;
       account.level = free * (1 - UnresponsiveShare());
@@ -145,6 +147,7 @@
 }
 
 double TeamRateLimiter::EstimatedPeerUse(Account& account,
+                                         double free,
                                          TimePoint now) const {
   const size_t responsive = peers_ - std::min(unresponsive_, peers_);
   const double of_one_request =
@@ -153,19 +156,33 @@
   const double of_others =
       static_cast<double>(responsive) *
       std::max(0.0, account.unreported - account.largest_unreported);
-  // Up to the limit's own rate, the use is made up for by what is granted
-  // meanwhile.
-  const double excess_rate =
-      account.reported.Sum(now) / ToSeconds(kPeerRateWindow) -
-      WindowGrant(account) / ToSeconds(allowance_.window);
-  const double by_rate = std::max(0.0, excess_rate) * ToSeconds(report_age_);
+  const double by_rate = account.reported.Sum(now) * ToSeconds(report_age_) /
+                             ToSeconds(kPeerRateWindow) -
+                         free;
   return std::max(kPeerUseEstimate * (of_one_request + of_others), by_rate);
 }
 
 double TeamRateLimiter::AvailableUnits(Account& account, TimePoint now) const {
   Fill(account, now);
-  return std::min(WindowHeadroom(account, now), account.level) -
-         EstimatedPeerUse(account, now);
+  // Until the next reports, the bucket is refilled, but the window gets back
+  // only what leaves it, which may be little after a quiet time.
+  const double refill = WindowGrant(account) / ToSeconds(allowance_.window) *
+                        ToSeconds(report_age_);
+  const double leaving = account.used.LeavingWithin(report_age_, now);
+  return std::min(
+      WindowHeadroom(account, now) - EstimatedPeerUse(account, leaving, now),
+      account.level - EstimatedPeerUse(account, refill, now));
+}
+
+double TeamRateLimiter::EvenShare(const Account& account) const {
+  return WindowGrant(account) / ToSeconds(allowance_.window) /
+         static_cast<double>(peers_ + 1);
+}
+
+double TeamRateLimiter::ShareFactor(const Account& account,
+                                    double available) const {
+  const double reserve = kContendedReserve * BucketCapacity(account);
+  return std::clamp(available / reserve, kMinShareFactor, kMaxShareFactor);
 }
 
 double TeamRateLimiter::Available(const TeamId& team, TimePoint now) {
@@ -175,8 +192,9 @@
 }
 
 std::optional<Duration> TeamRateLimiter::Admit(const TeamId& team,
-                                               double units,
+                                               const LimitedRequest& request,
                                                TimePoint now) {
+  const double units = request.units;
   const auto found = accounts_.find(team);
   if (found == accounts_.end()) {
     totals_[team] += units;
@@ -184,13 +202,25 @@
   }
   Account& account = found->second;
   const double available = AvailableUnits(account, now);
+  TeamLimitOrder& order = account.order;
+  order.Fill(ShareFactor(account, available) * EvenShare(account),
+             EvenShare(account), now);
+  order.OnRequest(request.priority, units, now);
+  if (now < account.contended_until) {
+    if (const auto wait = order.WaitFor(request.priority, units)) {
+      return Refuse(account, request, *wait, now);
+    }
+  }
   const double required_level =
       std::min(units, kNearlyFullShare * BucketCapacity(account));
   const double needed = std::max(
       required_level - kRequestHeadroom * WindowAllowance(account), 0.0);
   if (available < needed || available <= 0) {
-    return WaitFor(account, needed - available, now);
+    const Duration wait = WaitFor(account, needed - available, now);
+    return Refuse(account, request,
+                  wait + order.TimeForReturning(request.priority, units), now);
   }
+  order.Take(request.priority, units);
   Use(account, units, now);
   account.unreported += units;
   account.largest_unreported = std::max(account.largest_unreported, units);
@@ -198,6 +228,22 @@
   return std::nullopt;
 }
 
+Duration TeamRateLimiter::Refuse(Account& account,
+                                 const LimitedRequest& request,
+                                 Duration wait,
+                                 TimePoint now) {
+  if (now >= account.contended_until) {
+    account.order.Reset(now);
+  }
+  account.contended_until = now + kContendedTime;
+  const Duration told = std::max<Duration>(wait, kMinWait);
+  // Callers come back only after a small part of their time left.
+  if (told <= request.time_left / kReturnShare) {
+    account.order.OnToldToReturn(request.priority, request.units, told, now);
+  }
+  return told;
+}
+
 Duration TeamRateLimiter::WaitFor(Account& account,
                                   double missing,
                                   TimePoint now) const {
@@ -215,7 +261,8 @@
 void TeamRateLimiter::Refund(const TeamId& team,
                              double units,
                              TimePoint admitted,
-                             TimePoint now) {
+                             TimePoint now,
+                             int priority) {
   // After a window the request doesn't count any more.
   if (now - admitted >= allowance_.window) {
     return;
@@ -225,6 +272,7 @@
   if (found != accounts_.end()) {
     Account& account = found->second;
     Use(account, -units, now);
+    account.order.GiveBack(priority, units);
     account.unreported = std::max(0.0, account.unreported - units);
     account.largest_unreported =
         std::min(account.largest_unreported, account.unreported);
