--- a/modules/qh_gateway/control/event_log.h
+++ b/modules/qh_gateway/control/event_log.h
@@ -54,6 +54,9 @@
   kLeaseLost,
   kUsageReported,
   kOrderSent,
+  kRolloutStep,
+  kRolloutStored,
+  kRolloutIgnored,
   kLeaderCallFailed,
   kLogLinesDropped,
 };
@@ -97,6 +100,9 @@
     {GatewayEvent::kLeaseLost, "duty_lost"},
     {GatewayEvent::kUsageReported, "usage_reported"},
     {GatewayEvent::kOrderSent, "order_sent"},
+    {GatewayEvent::kRolloutStep, "rollout_step"},
+    {GatewayEvent::kRolloutStored, "rollout_stored"},
+    {GatewayEvent::kRolloutIgnored, "rollout_ignored"},
     {GatewayEvent::kLeaderCallFailed, "duty_call_failed"},
     {GatewayEvent::kLogLinesDropped, "log_lines_dropped"},
 };
--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -65,6 +65,7 @@
                     OnHeartbeat(heartbeat);
                   }}),
       verdict_archive_(state_, kGatewayNodeKind),
+      rollout_control_(state_),
       register_connection_(io,
                            settings.store_address,
                            codec.store,
@@ -167,6 +168,19 @@
              node_mirror_.OnConfirmed({state_.store_epoch.current(), revision});
            },
        .list_may_be_old = true});
+  if (settings.rollout_bounds) {
+    rollout_watcher_ = MakeWatcher(
+        codec_.rollout_kind,
+        {.on_list =
+             [this](const std::vector<StoredObject>& objects) {
+               rollout_control_.OnList(objects);
+             },
+         .on_change =
+             [this](const StoredObject& object) {
+               rollout_control_.OnChange(object);
+             },
+         .on_confirmed = [](uint64_t) {}});
+  }
   // The other nodes come first: they decide whether this one follows the store.
   node_watcher_->Start();
   RegisterNode();
@@ -248,6 +262,11 @@
   leader_tasks_.OnTick(now, BootNow(), peers_.nodes().UnresponsiveCount(now),
                        following_);
   state_.is_leader = leader_tasks_.is_leader();
+  if (state_.rollouts.enabled()) {
+    rollout_control_.OnTick(state_.node_count(),
+                            leader_tasks_.MayAct() && FollowsStore(),
+                            now - started_at_, now);
+  }
   ReportAgedState();
   UpdateReadiness();
   FlushLog();
@@ -322,9 +341,10 @@
                        .With("after_ms", ToMilliseconds(stopping)),
                    GatewayEvent::kStopped);
   FlushLog();
-  config_watcher_->Stop();
-  server_watcher_->Stop();
-  node_watcher_->Stop();
+  for (StoreWatcher* watcher : Watchers()) {
+    watcher->Stop();
+  }
+  rollout_control_.Stop();
   leader_tasks_.Stop();
   verdict_archive_.Stop();
   io_.stop();
@@ -357,6 +377,7 @@
   if (head.target != "/metrics") {
     return {.status = kNotFound};
   }
+  rollout_control_.SetMetrics(MonotonicNow());
   state_.metrics.Set({.name = "gateway_open_requests"},
                      static_cast<double>(state_.open_requests));
   const ByteBudget& budget = *state_.byte_budget;
--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -14,10 +14,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "qh_gateway/control/leader_tasks.h"
 #include "qh_gateway/control/peer_exchange.h"
 #include "qh_gateway/control/peer_state_fetcher.h"
+#include "qh_gateway/control/rollout_control.h"
 #include "qh_gateway/control/store_watcher.h"
 #include "qh_gateway/control/verdict_archive.h"
 #include "qh_gateway/decisions/store/store_mirror.h"
@@ -87,6 +89,8 @@
   // grace period is nearly over.
   void StopWhenDrained(TimePoint now);
 
+  // The watchers of this node.
+  std::vector<StoreWatcher*> Watchers() const;
   // Fills in the hooks that all watchers share.
   std::unique_ptr<StoreWatcher> MakeWatcher(const std::string& kind,
                                             StoreWatcher::Hooks hooks);
@@ -173,6 +177,7 @@
   LeaderTasks leader_tasks_;
   PeerExchange peers_;
   VerdictArchive verdict_archive_;
+  RolloutControl rollout_control_;
   StoreConnection register_connection_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer tick_timer_;
@@ -187,6 +192,8 @@
   std::unique_ptr<StoreWatcher> config_watcher_;
   std::unique_ptr<StoreWatcher> server_watcher_;
   std::unique_ptr<StoreWatcher> node_watcher_;
+  // Null without rollouts.
+  std::unique_ptr<StoreWatcher> rollout_watcher_;
   // Stored content of the configuration in force, for peers that can't reach
   // the store.
   std::string config_content_;
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -76,6 +76,9 @@
 
 void GatewayNode::OnHeartbeat(const PeerHeartbeat& heartbeat) {
   const TimePoint now = MonotonicNow();
+  if (heartbeat.ready) {
+    state_.rollouts.OnReadyPeer();
+  }
   store_reachability_.OnPeer(heartbeat.node, heartbeat.store_reachability, now);
   ConfirmByPeer(heartbeat);
 }
@@ -136,12 +139,11 @@
                        .With("relay", peers_.acts_as_relay(now))
                        .With("relays_heard", peers_.HeardRelays(now).size()),
                    GatewayEvent::kRoleChanged);
-  for (const auto* watcher :
-       {&config_watcher_, &server_watcher_, &node_watcher_}) {
+  for (StoreWatcher* watcher : Watchers()) {
     if (following) {
-      (*watcher)->Start();
+      watcher->Start();
     } else {
-      (*watcher)->Stop();
+      watcher->Stop();
     }
   }
 }
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -18,8 +18,6 @@
 constexpr Duration kMaxWatchWait = std::chrono::seconds(20);
 // Share of the store's read rate that the watches of all nodes may use.
 constexpr double kWatchReadShare = 0.25;
-// Each node watches the configuration, the servers and the nodes.
-constexpr double kWatchesPerNode = 3;
 // Delay between two watch calls for each node of the deployment, with bounds.
 constexpr Duration kBatchDelayPerNode = std::chrono::milliseconds(15);
 constexpr Duration kMinBatchDelay = std::chrono::milliseconds(150);
@@ -40,6 +38,17 @@
 
 }  // namespace
 
+std::vector<StoreWatcher*> GatewayNode::Watchers() const {
+  std::vector<StoreWatcher*> watchers;
+  for (const auto* watcher : {&config_watcher_, &server_watcher_,
+                              &node_watcher_, &rollout_watcher_}) {
+    if (*watcher != nullptr) {
+      watchers.push_back(watcher->get());
+    }
+  }
+  return watchers;
+}
+
 std::unique_ptr<StoreWatcher> GatewayNode::MakeWatcher(
     const std::string& kind,
     StoreWatcher::Hooks hooks) {
@@ -47,7 +56,11 @@
     OnStoreLost(kind, reason);
   };
   hooks.on_regained = [this, kind] { OnStoreRegained(kind); };
-  hooks.on_call = [this](bool succeeded) {
+  hooks.on_call = [this, kind](bool succeeded) {
+    if (kind == codec_.rollout_kind) {
+      // A store without this kind is no unreachable store.
+      return;
+    }
     if (succeeded) {
       store_reachability_.OnAnswer(MonotonicNow());
     } else {
@@ -64,8 +77,8 @@
 // With more nodes each call waits longer, so that the calls of all nodes stay
 // within their share of the store's read rate.
 Duration GatewayNode::WatchWait() const {
-  const double calls =
-      kWatchesPerNode * static_cast<double>(peers_.StoreFollowers());
+  const double calls = static_cast<double>(Watchers().size()) *
+                       static_cast<double>(peers_.StoreFollowers());
   const double seconds =
       calls / (kWatchReadShare * state_.settings.store_reads_per_second);
   // Relays are few and watch each other, so that an unresponsive connection of
@@ -207,11 +220,8 @@
   // From now on no list of an earlier epoch is accepted from a peer.
   server_mirror_.OnConfirmed({.epoch = epoch});
   node_mirror_.OnConfirmed({.epoch = epoch});
-  for (const auto* watcher :
-       {&config_watcher_, &server_watcher_, &node_watcher_}) {
-    if (*watcher != nullptr) {
-      (*watcher)->OnStoreRestored();
-    }
+  for (StoreWatcher* watcher : Watchers()) {
+    watcher->OnStoreRestored();
   }
   if (!registered_) {
     register_connection_.Reset();
--- a/modules/qh_gateway/control/gateway_settings.cpp
+++ b/modules/qh_gateway/control/gateway_settings.cpp
@@ -148,6 +148,16 @@
       reader.Number("limit_overage", settings.limit_overage, 0);
   settings.limit_tolerance =
       reader.Number("limit_tolerance", settings.limit_tolerance, 0);
+  if (json.contains("rollout_exposure_share")) {
+    RolloutBounds bounds;
+    bounds.exposure_share =
+        reader.Number("rollout_exposure_share", bounds.exposure_share, 0);
+    bounds.exposure_tolerance = reader.Number("rollout_exposure_tolerance",
+                                              bounds.exposure_tolerance, 0);
+    bounds.rollback_time =
+        reader.Milliseconds("rollout_rollback_ms", bounds.rollback_time);
+    settings.rollout_bounds = bounds;
+  }
   if (!mistakes.empty()) {
     return Error(ErrorKind::kConfigInvalid, mistakes);
   }
--- a/modules/qh_gateway/control/gateway_settings.h
+++ b/modules/qh_gateway/control/gateway_settings.h
@@ -13,6 +13,7 @@
 #include "qh_core/errors/result.h"
 #include "qh_core/ids/ids.h"
 #include "qh_core/time/time.h"
+#include "qh_gateway/decisions/rollout/rollout_types.h"
 
 namespace qh {
 
@@ -76,6 +77,10 @@
   double limit_overage = 0.1;
   double limit_tolerance = 0;
 
+  // Bounds of rollouts between versions of a service; nullopt for a deployment
+  // without rollouts.
+  std::optional<RolloutBounds> rollout_bounds;
+
   // Reads the file at `path`. Fails with kConfigInvalid; the detail has one
   // line per mistake with file, key and reason.
   static Result<GatewaySettings> Load(const std::string& path);
--- a/modules/qh_gateway/control/leader_tasks.cpp
+++ b/modules/qh_gateway/control/leader_tasks.cpp
@@ -134,7 +134,8 @@
                          size_t unresponsive_peers,
                          bool may_lead) {
   MeasurePrefillRates(now);
-  if (cloud_ == nullptr || stopped_) {
+  const bool has_tasks = cloud_ != nullptr || state_.rollouts.enabled();
+  if (!has_tasks || stopped_) {
     return;
   }
   // A stopping node doesn't release its lease but lets it expire. The next
@@ -148,6 +149,9 @@
     }
     RunLease(lease_.Advance({.kind = LeaseEventKind::kTick}, boot_now));
   }
+  if (cloud_ == nullptr) {
+    return;
+  }
   const bool plan_due = now >= last_planned_at_ + kPlanInterval;
   if (plan_due) {
     last_planned_at_ = now;
@@ -295,7 +299,8 @@
     }
     const auto orders = capacity_planner_.Plan(service, DemandOf(service),
                                                state_.directory.All(), now);
-    if (!MayAct() || orders_in_flight_ > 0) {
+    if (!MayAct() || orders_in_flight_ > 0 ||
+        state_.rollouts.IsUnderWay(service.name)) {
       continue;
     }
     for (const CapacityOrder& order : orders) {
--- a/modules/qh_gateway/control/leader_tasks.h
+++ b/modules/qh_gateway/control/leader_tasks.h
@@ -72,6 +72,9 @@
 
   // Whether this node holds the lease.
   bool is_leader() const { return is_leader_; }
+  // Whether calls may be made under the lease: it is held with enough time left
+  // for a call, and the node isn't stopping.
+  bool MayAct() const;
   // Smoothed rate of prompt tokens that servers had to prefill for this node,
   // by service, in tokens per millisecond.
   const std::map<std::string, double>& own_prefill_rates() const {
@@ -84,9 +87,6 @@
 
   void RunLease(const std::vector<LeaseAction>& actions);
   void SendLeaseCall(const LeaseAction& action);
-  // Whether calls may be made under the lease: it is held with enough time left
-  // for a call, and the node isn't stopping.
-  bool MayAct() const;
   FencingToken CurrentFencing() const;
 
   // Reports windows one after the other, each once its counts are complete.
--- a/modules/qh_gateway/control/peer_digest.cpp
+++ b/modules/qh_gateway/control/peer_digest.cpp
@@ -67,6 +67,9 @@
   for (const auto& [name, source] : sources_) {
     const bool is_member = source.last.scope == HeartbeatScope::kNode &&
                            source.last.failure_domain == own.failure_domain;
+    if (is_member) {
+      AddReports(sum.rollouts, source.last.rollouts, IsFresh(source, now));
+    }
     if (is_member && IsFresh(source, now)) {
       AddSums(sum, source.last);
       sum.members.push_back(MemberOf(source.last));
@@ -85,6 +88,9 @@
   AddTotals(sum.team_totals, node_totals_.SumWithout(receiver));
   AddTotals(sum.team_totals, domain_totals_.SumWithout(receiver));
   for (const auto& [name, source] : sources_) {
+    if (name != receiver) {
+      AddReports(sum.rollouts, source.last.rollouts, IsFresh(source, now));
+    }
     if (name != receiver && IsFresh(source, now)) {
       AddSums(sum, source.last);
     }
--- a/modules/qh_gateway/control/peer_digest.h
+++ b/modules/qh_gateway/control/peer_digest.h
@@ -66,7 +66,8 @@
   };
 
   static bool IsFresh(const Source& source, TimePoint now);
-  // Adds the sums of `more` to `sum`, without totals and usage.
+  // Adds the sums of `more` to `sum`, without totals, usage and
+  // rollouts.
   static void AddSums(PeerHeartbeat& sum, const PeerHeartbeat& more);
 
   std::map<std::string, Source> sources_;
--- a/modules/qh_gateway/control/peer_exchange.cpp
+++ b/modules/qh_gateway/control/peer_exchange.cpp
@@ -161,7 +161,8 @@
       .team_totals = state_.team_rate_limiter.totals(),
       .usage = state_.usage.Recent(),
       .crashes = state_.crash_tracker.TakeReport(now),
-      .prefill_rates = leader_tasks_.own_prefill_rates()};
+      .prefill_rates = leader_tasks_.own_prefill_rates(),
+      .rollouts = state_.rollouts.Report(now)};
   hooks_.describe_node(heartbeat);
   return heartbeat;
 }
@@ -361,6 +362,10 @@
   if (heartbeat.scope == HeartbeatScope::kDomain && !own_domain) {
     state_.usage.OnPeer(source, heartbeat.usage, UsageScope::kOtherDomain);
   }
+  state_.rollouts.OnPeer(counts ? source : std::string(),
+                         heartbeat.scope == HeartbeatScope::kDeployment,
+                         is_node ? heartbeat.incarnation : std::string(),
+                         heartbeat.rollouts, now);
   if (!counts) {
     return;
   }
--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -5,6 +5,7 @@
 
 #include "qh_core/text/bounded_json.h"
 #include "qh_core/text/utf8.h"
+#include "qh_gateway/control/rollout_report_codec.h"
 
 namespace qh {
 namespace {
@@ -299,6 +300,10 @@
   heartbeat.crashes = CrashReportFromJson(json, MonotonicNow());
   heartbeat.prefill_rates =
       json.at("reading").get<std::map<std::string, double>>();
+  // Nodes of an earlier version don't send rollouts.
+  if (const auto rollouts = json.find("rollouts"); rollouts != json.end()) {
+    heartbeat.rollouts = RolloutReportsFromJson(*rollouts);
+  }
   return heartbeat;
 }
 
@@ -359,6 +364,7 @@
       {"crash", CrashRecordsToJson(crashes.records, crashes.made)},
       {"crash_sound", SoundAnswersToJson(crashes.sound, crashes.made)},
       {"crash_verdicts", VerdictsToJson(crashes.verdicts, crashes.made)},
+      {"rollouts", RolloutReportsToJson(rollouts)},
       {"reading", prefill_rates}};
   std::string bytes;
   Json::to_msgpack(json, bytes);
--- a/modules/qh_gateway/control/peer_heartbeat.h
+++ b/modules/qh_gateway/control/peer_heartbeat.h
@@ -21,6 +21,7 @@
 #include "qh_gateway/decisions/limits/team_rate_limiter.h"
 #include "qh_gateway/decisions/placement/server_load.h"
 #include "qh_gateway/decisions/placement/server_pauses.h"
+#include "qh_gateway/decisions/rollout/rollout_types.h"
 #include "qh_gateway/decisions/servers/server_departures.h"
 #include "qh_gateway/decisions/store/state_freshness.h"
 #include "qh_gateway/decisions/store/store_reachability.h"
@@ -123,6 +124,9 @@
   // Prompt tokens per millisecond that servers had to prefill, by service.
   std::map<std::string, double> prefill_rates;
 
+  // Rollouts that the sender knows, summed up over the nodes of `scope`.
+  RolloutReports rollouts;
+
   // Returns the heartbeat as MessagePack.
   std::string Encode() const;
   // Decodes the result of Encode. Fails with kPeerMalformed.
--- a/modules/qh_gateway/decisions/placement/server_picker.cpp
+++ b/modules/qh_gateway/decisions/placement/server_picker.cpp
@@ -117,6 +117,11 @@
     TimePoint now) {
   const std::string& service = query.service->name;
   std::vector<const ServerRecord*> usable = directory_.Usable(service);
+  if (query.eligible) {
+    std::erase_if(usable, [&](const ServerRecord* server) {
+      return !query.eligible(*server);
+    });
+  }
   const Unavailable unavailable = RemoveUnavailable(usable, query, now);
   const auto to_yield = unavailable.all_limited && query.first_attempt
                             ? urgency_.TimeToYield(service, query.priority, now)
--- a/modules/qh_gateway/decisions/placement/server_picker.h
+++ b/modules/qh_gateway/decisions/placement/server_picker.h
@@ -17,6 +17,7 @@
 #define QH_GATEWAY_DECISIONS_PLACEMENT_SERVER_PICKER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -46,6 +47,8 @@
   // Servers that are not to be picked, because the request was sent to them
   // before.
   std::set<ServerId> tried_servers;
+  // Whether a server may take the request; empty if every one may.
+  std::function<bool(const ServerRecord&)> eligible;
   // Time until the request's deadline.
   Duration time_left = Duration::zero();
   // Rank of the request among those for the service, 0 the most urgent.
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -79,6 +79,7 @@
     return;
   }
   state_.retry_budget.OnRequest(service_->name, MonotonicNow());
+  state_.rollouts.OnRequest(service_->name, route_->name, MonotonicNow());
   ArmDeadlineTimer(AnswerDue());
   StartAttempt();
 }
@@ -209,6 +210,7 @@
   const TimePoint now = MonotonicNow();
   time_to_first_byte_ = now - attempt_started_;
   state_.features_blocked_listeners.erase(this);
+  state_.rollouts.OnStarted(*rollout_attempt_, CurrentTime(now));
   state_.picker.OnResponseStarted(*pick_, service_->name,
                                   service_->engine.has_value(),
                                   *time_to_first_byte_);
@@ -370,6 +372,7 @@
   }
   state_.features_blocked_listeners.erase(this);
   const TimePoint now = MonotonicNow();
+  state_.rollouts.OnEnded(*rollout_attempt_, outcome, CurrentTime(now));
   const bool ejected = state_.picker.OnEnded(
       *pick_, time_to_first_byte_.has_value(), outcome, now);
   if (ejected) {
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -168,6 +168,8 @@
   // has received, which may be that of an earlier attempt.
   bool fits_forwarded_head() const;
   Duration TimeLeft(TimePoint now) const;
+  // How long the current attempt has taken so far.
+  ResponseTime CurrentTime(TimePoint now) const;
   // How long the caller waits for an answer to begin, from when the request was
   // received.
   Duration CallerPatience() const;
@@ -206,6 +208,8 @@
   ServerProcess process_;
   Address server_address_;
   TimePoint attempt_started_;
+  // The last attempt as its service's rollout knows it.
+  std::optional<RolloutAttempt> rollout_attempt_;
   // From the start of the attempt to the first complete event of a stream, or
   // the head of any other answer.
   std::optional<Duration> time_to_first_byte_;
--- a/modules/qh_gateway/forwarding/exchange_attempts.cpp
+++ b/modules/qh_gateway/forwarding/exchange_attempts.cpp
@@ -35,14 +35,37 @@
 }
 
 Result<ServerPick> Exchange::Choose(TimePoint now) {
-  return state_.picker.Choose({.route = route_,
-                               .service = service_,
-                               .request = &request_,
-                               .tried_servers = tried_servers_,
-                               .time_left = TimeLeft(now),
-                               .priority = Priority(),
-                               .first_attempt = attempts_ == 0},
-                              now);
+  Result<ServerPick> pick =
+      Error(ErrorKind::kNoServer, "the rollout of " + service_->name +
+                                      " allows no server at present");
+  for (ServerFilter& eligible :
+       state_.rollouts.Eligible(service_->name, route_->name, rollout_attempt_,
+                                forwarding_, now)) {
+    pick = state_.picker.Choose({.route = route_,
+                                 .service = service_,
+                                 .request = &request_,
+                                 .tried_servers = tried_servers_,
+                                 .eligible = std::move(eligible),
+                                 .time_left = TimeLeft(now),
+                                 .priority = Priority(),
+                                 .first_attempt = attempts_ == 0},
+                                now);
+    if (pick) {
+      break;
+    }
+  }
+  return pick;
+}
+
+ResponseTime Exchange::CurrentTime(TimePoint now) const {
+  const Duration taken = now - attempt_started_;
+  ResponseTime time{.first_byte = time_to_first_byte_.value_or(taken),
+                    .expected = pick_->expected_ttfb};
+  if (is_stream() && time_to_first_byte_ && event_splitter_.events() > 1) {
+    time.gap = (taken - *time_to_first_byte_) /
+               static_cast<int64_t>(event_splitter_.events() - 1);
+  }
+  return time;
 }
 
 void Exchange::StartAttempt() {
@@ -135,9 +158,20 @@
     StartAttempt();
     return;
   }
+  const ServerRecord* server = state_.directory.Find(pick.server);
+  auto rollout_attempt = state_.rollouts.TakeSend(
+      service_->name, server == nullptr ? std::string() : server->version,
+      route_->name, attempts_ == 0, now);
+  if (!rollout_attempt) {
+    // A rollout moved on while the node connected.
+    state_.connection_pool.Release(connection, now);
+    tried_servers_.insert(pick.server);
+    StartAttempt();
+    return;
+  }
+  rollout_attempt_ = std::move(rollout_attempt);
   permitted_server_.reset();
   pick_ = pick;
-  const ServerRecord* server = state_.directory.Find(pick.server);
   process_ = {pick.server, server == nullptr ? 0 : server->started_ms};
   server_address_ = connection->address();
   connection_ = connection;
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -40,6 +40,7 @@
           },
           kHeartbeatsToExpiry * settings.server_heartbeat),
       picker(directory, settings.failure_domain, seed),
+      rollouts(settings.rollout_bounds, directory, seed),
       connection_pool(io, codec),
       team_rate_limiter({.window = settings.limit_window,
                          .share = settings.limit_overage,
@@ -195,6 +196,9 @@
           .With("leaves_ms",
                 server.leaves_in ? ToMilliseconds(*server.leaves_in) : -1.0),
       GatewayEvent::kServerChanged);
+  if (change == ServerChange::kAdded || change == ServerChange::kRestarted) {
+    rollouts.OnServer(server, servers_listed, MonotonicNow());
+  }
   if (change == ServerChange::kGone || change == ServerChange::kRestarted) {
     picker.ResetServer(server.id);
   }
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -16,6 +16,7 @@
 #include "qh_gateway/decisions/nodes/deployment_size.h"
 #include "qh_gateway/decisions/nodes/wall_clock.h"
 #include "qh_gateway/decisions/placement/server_picker.h"
+#include "qh_gateway/decisions/rollout/rollout_book.h"
 #include "qh_gateway/decisions/servers/server_directory.h"
 #include "qh_gateway/decisions/store/state_freshness.h"
 #include "qh_gateway/decisions/store/store_epoch.h"
@@ -93,6 +94,7 @@
   std::function<void(uint64_t epoch, bool restored)> on_store_epoch;
   ServerDirectory directory;
   ServerPicker picker;
+  RolloutBook rollouts;
   ServerConnectionPool connection_pool;
   TeamRateLimiter team_rate_limiter;
   ServiceRetryBudget retry_budget;
--- a/modules/qh_gateway/model/server_record.h
+++ b/modules/qh_gateway/model/server_record.h
@@ -18,6 +18,8 @@
   std::string service;
   Address address;
   FailureDomainId failure_domain;
+  // Version of the service that the server runs; empty if it states none.
+  std::string version;
   // Requests that the server runs concurrently.
   uint32_t slots = 1;
   // The server takes no new requests.
--- a/modules/qh_gateway/model/stored_object.h
+++ b/modules/qh_gateway/model/stored_object.h
@@ -33,6 +33,9 @@
   uint64_t revision = 0;
   // The object's content as JSON text.
   std::string content;
+  // The object's status as JSON text; "null" if it has none. Only
+  // StoreProtocol::replace_status writes it.
+  std::string status = "null";
   // Events only: the object was removed.
   bool removed = false;
 };
@@ -68,6 +71,9 @@
   // zero replaces any revision.
   std::function<HttpCall(const std::string& kind, const StoredObject& object)>
       replace;
+  // Replaces `object.status` alone; refused like replace.
+  std::function<HttpCall(const std::string& kind, const StoredObject& object)>
+      replace_status;
   std::function<HttpCall(const std::string& kind, const std::string& name)>
       remove;
   std::function<Result<ObjectPage>(const std::string& body)> read_list;
--- a/modules/qh_gateway/model/wire_codec.h
+++ b/modules/qh_gateway/model/wire_codec.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "qh_core/errors/result.h"
+#include "qh_gateway/decisions/rollout/rollout_types.h"
 #include "qh_gateway/model/caller_request.h"
 #include "qh_gateway/model/server_record.h"
 #include "qh_gateway/model/service_config.h"
@@ -84,6 +85,13 @@
   // Decodes a server's registration. Fails with kPeerMalformed when the object
   // is not one.
   std::function<Result<ServerRecord>(const StoredObject&)> read_server;
+  // Decode the order of a rollout and its status; the order's version is that of
+  // the object. Fail with kPeerMalformed.
+  std::function<Result<RolloutOrder>(const StoredObject&)> read_rollout;
+  std::function<Result<std::optional<RolloutStatus>>(const StoredObject&)>
+      read_rollout_status;
+  // Encodes a status for StoredObject::status.
+  std::function<std::string(const RolloutStatus&)> write_rollout_status;
   StoreProtocol store;
 
   // Calls to the cloud, which refuses them when the token is out of date.
@@ -105,6 +113,8 @@
   std::string config_kind;
   std::string config_name;
   std::string server_kind;
+  // Kind of the orders of rollouts.
+  std::string rollout_kind;
 };
 
 }  // namespace qh
--- a/tests/qh_gateway/deployment_fixture.cpp
+++ b/tests/qh_gateway/deployment_fixture.cpp
@@ -32,6 +32,9 @@
   settings.locate_address = {host, 17'042};
   settings.peer_address = {host, 17'043};
   settings.store_address = store.AddClient();
+  if (adjust_settings) {
+    adjust_settings(settings);
+  }
   return settings;
 }
 
--- a/tests/qh_gateway/deployment_fixture.h
+++ b/tests/qh_gateway/deployment_fixture.h
@@ -26,6 +26,10 @@
   // too long.
   void StartNodes(size_t nodes, size_t domains, size_t servers);
 
+  // Changes the settings of the nodes that are started from now on; may be
+  // empty.
+  std::function<void(GatewaySettings&)> adjust_settings;
+
   // Writes configuration `version` to the store.
   void PutConfig(uint64_t version);
   // Writes a server's registration to the store.
--- a/tests/qh_gateway/fake_object_store.cpp
+++ b/tests/qh_gateway/fake_object_store.cpp
@@ -36,6 +36,8 @@
   std::getline(path, skipped, '/');
   std::getline(path, call.kind, '/');
   std::getline(path, call.name, '/');
+  std::string part;
+  call.is_status = std::getline(path, part, '/') && part == "status";
   call.is_watch = head.target.find("watch=") != std::string::npos;
   call.received = MonotonicNow();
   return call;
@@ -43,9 +45,11 @@
 
 Json ObjectJson(const std::string& name,
                 uint64_t revision,
-                const std::string& content) {
+                const std::string& content,
+                const std::string& status = "null") {
   return {{"metadata", {{"name", name}, {"revision", revision}}},
-          {"spec", Json::parse(content)}};
+          {"spec", Json::parse(content)},
+          {"status", Json::parse(status)}};
 }
 
 }  // namespace
@@ -116,6 +120,8 @@
       Answer(store_.Write(call_, body));
     } else if (call_.is_watch) {
       StartWatch(head.target);
+    } else if (!call_.name.empty()) {
+      Answer(store_.Get(call_.kind, call_.name));
     } else {
       Answer(store_.List(call_.kind));
     }
@@ -218,7 +224,8 @@
   if (change.removed) {
     objects_[change.kind].erase(change.name);
   } else {
-    objects_[change.kind][change.name] = {change.revision, change.content};
+    objects_[change.kind][change.name] = {change.revision, change.content,
+                                          change.status};
   }
   changes_.push_back(change);
   AnswerWatches(change.kind);
@@ -252,11 +259,30 @@
                      });
 }
 
+std::string FakeObjectStore::StatusOf(const std::string& kind,
+                                      const std::string& name) const {
+  const Reply reply = Get(kind, name);
+  return reply.status == kOk ? reply.body["status"].dump() : "null";
+}
+
+FakeObjectStore::Reply FakeObjectStore::Get(const std::string& kind,
+                                            const std::string& name) const {
+  const auto objects = objects_.find(kind);
+  if (objects == objects_.end() || !objects->second.contains(name)) {
+    return {.status = kNotFound};
+  }
+  const Object& object = objects->second.at(name);
+  return {.status = kOk,
+          .body = ObjectJson(name, object.revision, object.content,
+                             object.status)};
+}
+
 FakeObjectStore::Reply FakeObjectStore::List(const std::string& kind) const {
   Json items = Json::array();
   if (const auto found = objects_.find(kind); found != objects_.end()) {
     for (const auto& [name, object] : found->second) {
-      items.push_back(ObjectJson(name, object.revision, object.content));
+      items.push_back(
+          ObjectJson(name, object.revision, object.content, object.status));
     }
   }
   return {.status = kOk,
@@ -269,7 +295,8 @@
   for (const Change& change : changes_) {
     if (change.kind == kind && change.revision > revision) {
       events.push_back(
-          {{"object", ObjectJson(change.name, change.revision, change.content)},
+          {{"object", ObjectJson(change.name, change.revision, change.content,
+                                change.status)},
            {"removed", change.removed}});
     }
   }
@@ -295,9 +322,24 @@
             .body = ObjectJson(name, objects_[call.kind][name].revision,
                                objects_[call.kind][name].content)};
   }
-  Put(call.kind, name, object["spec"].dump());
-  return {.status = kOk,
-          .body = ObjectJson(name, revision_, object["spec"].dump())};
+  const uint64_t expected = object["metadata"].value("revision", uint64_t{0});
+  const bool exists = objects_[call.kind].contains(name);
+  if (call.is_status && !exists) {
+    return {.status = kNotFound};
+  }
+  if (expected != 0 &&
+      (!exists || objects_[call.kind][name].revision != expected)) {
+    return {.status = kConflict};
+  }
+  if (call.is_status) {
+    AddChange({.kind = call.kind,
+               .name = name,
+               .content = objects_[call.kind][name].content,
+               .status = object["status"].dump()});
+  } else {
+    Put(call.kind, name, object["spec"].dump());
+  }
+  return Get(call.kind, name);
 }
 
 }  // namespace qh
--- a/tests/qh_gateway/fake_object_store.h
+++ b/tests/qh_gateway/fake_object_store.h
@@ -27,6 +27,8 @@
   // Empty for lists and watches.
   std::string name;
   bool is_watch = false;
+  // Whether the call concerns the object's status alone.
+  bool is_status = false;
   TimePoint received;
 };
 
@@ -57,6 +59,8 @@
   // answered.
   void SetFault(Fault fault) { fault_ = std::move(fault); }
 
+  // Returns the status of an object as JSON; "null" without one.
+  std::string StatusOf(const std::string& kind, const std::string& name) const;
   // Returns the contents of all objects of `kind`, by name.
   std::map<std::string, std::string> Contents(const std::string& kind) const;
   // Whether `client` has an open watch of `kind`.
@@ -69,12 +73,14 @@
   struct Object {
     uint64_t revision = 0;
     std::string content;
+    std::string status = "null";
   };
   struct Change {
     uint64_t revision = 0;
     std::string kind;
     std::string name;
     std::string content;
+    std::string status = "null";
     bool removed = false;
   };
   struct Reply {
@@ -85,6 +91,7 @@
   void Accept(size_t client);
   ObjectStoreFault FaultOf(const ObjectStoreCall& call) const;
   Reply List(const std::string& kind) const;
+  Reply Get(const std::string& kind, const std::string& name) const;
   // Returns the changes of `kind` after `revision`.
   nlohmann::json ChangesAfter(const std::string& kind, uint64_t revision) const;
   Reply Write(const ObjectStoreCall& call, const std::string& body);
