Rollouts: routes are judged by responses after the warm-up, orders unknown at the start

Now only responses to requests sent after the warm-up count as samples for slowness, and a process that knows no orders yet uses the version with the oldest servers.

--- a/modules/qh_gateway/decisions/rollout/canary_analysis.cpp
+++ b/modules/qh_gateway/decisions/rollout/canary_analysis.cpp
@@ -19,6 +19,10 @@
 constexpr uint64_t kFaultCount = 4;
 constexpr double kDoubtSigmas = 1.5;
 constexpr uint64_t kDoubtCount = 2;
+// Responses on a route that the new version needs to pass: this part of the
+// requests there since the warm-up, up to the largest number.
+constexpr double kRouteSampleShare = 0.1;
+constexpr uint64_t kMaxRouteSamples = 4;
 
 ResponseCounts Sum(const RouteCounts& routes) {
   ResponseCounts sum;
@@ -43,6 +47,7 @@
     rest.requests = Less(counts.requests, base.requests);
     rest.failures = Less(counts.failures, base.failures);
     rest.slow = Less(counts.slow, base.slow);
+    rest.timed = Less(counts.timed, base.timed);
   }
   return difference;
 }
@@ -131,11 +136,11 @@
                       old.failures, old.requests);
     }
     if (with_slow &&
-        IsExcess(fresh.slow, fresh.requests,
+        IsExcess(fresh.slow, fresh.timed,
                  std::max(ShareOf(old.slow, old.requests),
                           ShareOf(all_old.slow, all_old.requests)),
                  kAcceptedSlow, sigmas, min_bad)) {
-      return describe(scope, "slow", fresh.slow, fresh.requests, old.slow,
+      return describe(scope, "slow", fresh.slow, fresh.timed, old.slow,
                       old.requests);
     }
     return std::nullopt;
@@ -187,15 +192,21 @@
     return false;
   }
   const VersionCounts since = Difference(counts_, *warm_counts_);
-  const bool all_routes_tried = std::all_of(
-      counts_.old_version.begin(), counts_.old_version.end(),
-      [&](const auto& route) {
+  RouteCounts both = since.old_version;
+  for (const auto& [route, counts] : since.new_version) {
+    both[route] += counts;
+  }
+  const bool all_routes_tried =
+      std::all_of(both.begin(), both.end(), [&](const auto& route) {
         const auto found = since.new_version.find(route.first);
-        return route.second.requests < kRouteRequests ||
-               (found != since.new_version.end() &&
-                found->second.requests >= kMinRouteSamples);
+        const uint64_t samples =
+            found == since.new_version.end() ? 0 : found->second.timed;
+        const double needed =
+            kRouteSampleShare * static_cast<double>(route.second.requests);
+        return samples >= kMaxRouteSamples ||
+               static_cast<double>(samples) >= needed;
       });
-  return Sum(since.new_version).requests >= kMinSamples && all_routes_tried &&
+  return Sum(since.new_version).timed >= kMinSamples && all_routes_tried &&
          !Find(kDoubtSigmas, kDoubtCount);
 }
 
--- a/modules/qh_gateway/decisions/rollout/rollout_book.cpp
+++ b/modules/qh_gateway/decisions/rollout/rollout_book.cpp
@@ -8,7 +8,7 @@
 // A process that started this long before the order was there when it was made.
 constexpr Duration kStartSlack = std::chrono::seconds(1);
 
-ServerFilter NewServersFilter(const std::string& version) {
+ServerFilter OfVersion(const std::string& version) {
   return [version](const ServerRecord& server) {
     return server.version == version;
   };
@@ -134,7 +134,6 @@
   if (!enabled()) {
     return;
   }
-  first_server_at_ = first_server_at_.value_or(now);
   Versions& versions = versions_[server.service];
   if (!listed || versions.in_use.empty()) {
     versions.in_use.insert(server.version);
@@ -259,7 +258,17 @@
   }
 }
 
-std::optional<ServerFilter> RolloutBook::WithoutOrder(
+ServerFilter RolloutBook::OldestVersion(const std::string& service) const {
+  const auto usable = directory_.Usable(service);
+  const auto oldest = std::min_element(
+      usable.begin(), usable.end(), [](const auto* a, const auto* b) {
+        return a->started_ms < b->started_ms;
+      });
+  return oldest == usable.end() ? ServerFilter()
+                                : OfVersion((*oldest)->version);
+}
+
+ServerFilter RolloutBook::WithoutOrder(
     const std::string& service,
     TimePoint now) const {
   const auto found = versions_.find(service);
@@ -268,8 +277,8 @@
     return ServerFilter();
   }
   const Versions& versions = found->second;
-  if (!knows_orders_ && now - *first_server_at_ < kOrderDelay) {
-    return std::nullopt;
+  if (!knows_orders_) {
+    return OldestVersion(service);
   }
   std::set<std::string> held;
   for (const auto& [version, at] : versions.appeared) {
@@ -311,12 +320,10 @@
     TimePoint now) const {
   const auto known = rollouts_.find(service);
   if (known == rollouts_.end()) {
-    const auto filter = WithoutOrder(service, now);
-    return filter ? std::vector<ServerFilter>{*filter}
-                  : std::vector<ServerFilter>{};
+    return {WithoutOrder(service, now)};
   }
   const ServiceRollout& rollout = known->second;
-  const ServerFilter is_new = NewServersFilter(rollout.order().to);
+  const ServerFilter is_new = OfVersion(rollout.order().to);
   const ServerFilter is_old = OldServers(rollout.order());
   const RolloutTarget target = rollout.Target(route, now);
   const bool old_allowed =
@@ -399,8 +406,9 @@
   ResponseCounts counts;
   counts.requests = 1;
   counts.slow = attempt.slow ? 1 : 0;
-  rollout->OnResponse(attempt.route, attempt.version == attempt.order->to,
-                      counts);
+  const bool of_new = attempt.version == attempt.order->to;
+  counts.timed = of_new && !attempt.cold ? 1 : 0;
+  rollout->OnResponse(attempt.route, of_new, counts);
 }
 
 void RolloutBook::OnEnded(RolloutAttempt& attempt,
@@ -425,6 +433,9 @@
     const bool known_end =
         failed || slow || outcome == AttemptOutcome::kAnswered;
     counts.requests = known_end && !attempt.counted ? 1 : 0;
+    if (of_new && !attempt.cold) {
+      counts.timed = counts.requests;
+    }
     counts.failures = failed ? 1 : 0;
     counts.slow = slow && !attempt.slow ? 1 : 0;
     attempt.counted = attempt.counted || known_end;
--- a/modules/qh_gateway/decisions/rollout/rollout_book.h
+++ b/modules/qh_gateway/decisions/rollout/rollout_book.h
@@ -150,11 +150,10 @@
   ServiceRollout& Adopt(const RolloutOrder& order,
                         bool from_start,
                         TimePoint now);
-  // Without an order: leaves out versions that appeared just now. Returns
-  // nullopt if this process has just started and can't know which of several
-  // versions may be used.
-  std::optional<ServerFilter> WithoutOrder(const std::string& service,
-                                           TimePoint now) const;
+  // Without an order: leaves out versions that appeared just now. While the
+  // orders aren't known, the version is used whose servers are oldest.
+  ServerFilter WithoutOrder(const std::string& service, TimePoint now) const;
+  ServerFilter OldestVersion(const std::string& service) const;
   // Tells a rollout which servers take requests.
   void UpdateServers(ServiceRollout& rollout);
   ServerFilter CanaryFilter(const ServiceRollout& rollout) const;
@@ -173,7 +172,6 @@
   // has told them.
   bool listed_ = false;
   bool knows_orders_ = false;
-  std::optional<TimePoint> first_server_at_;
   Duration uptime_ = Duration::zero();
   std::map<std::string, Versions> versions_;
   // Versions whose rollout was replaced before it was completed, by service.
