--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -169,17 +169,17 @@
            },
        .list_may_be_old = true});
   if (settings.rollout_bounds) {
-    rollout_watcher_ = MakeWatcher(
-        codec_.rollout_kind,
-        {.on_list =
-             [this](const std::vector<StoredObject>& objects) {
-               rollout_control_.OnList(objects);
-             },
-         .on_change =
-             [this](const StoredObject& object) {
-               rollout_control_.OnChange(object);
-             },
-         .on_confirmed = [](uint64_t) {}});
+    rollout_watcher_ =
+        MakeWatcher(codec_.rollout_kind,
+                    {.on_list =
+                         [this](const std::vector<StoredObject>& objects) {
+                           rollout_control_.OnList(objects);
+                         },
+                     .on_change =
+                         [this](const StoredObject& object) {
+                           rollout_control_.OnChange(object);
+                         },
+                     .on_confirmed = [](uint64_t) {}});
   }
   // The other nodes come first: they decide whether this one follows the store.
   node_watcher_->Start();
--- a/modules/qh_gateway/control/rollout_control.cpp
+++ b/modules/qh_gateway/control/rollout_control.cpp
@@ -91,23 +91,23 @@
   may_write_ = may_write;
   state_.rollouts.OnTick(known_nodes, may_write, uptime, now);
   for (const RolloutStep& step : state_.rollouts.TakeSteps()) {
-    state_.log.Write(LogLine(ToName(GatewayEvent::kRolloutStep))
-                         .With("service", step.order.service)
-                         .With("to", step.order.to)
-                         .With("phase", ToName(step.phase))
-                         .With("why", step.reason)
-                         .With("age_ms", ToMilliseconds(step.age))
-                         .With("duration_ms",
-                               ToMilliseconds(step.order.duration))
-                         .With("new_requests", step.new_counts.requests)
-                         .With("new_failures", step.new_counts.failures)
-                         .With("new_slow", step.new_counts.slow)
-                         .With("nodes_heard", step.nodes_heard)
-                         .With("report_age_ms_below",
-                               ToMilliseconds(ServiceRollout::kFreshTime))
-                         .With("epoch", step.order.version.epoch)
-                         .With("revision", step.order.version.revision),
-                     GatewayEvent::kRolloutStep);
+    state_.log.Write(
+        LogLine(ToName(GatewayEvent::kRolloutStep))
+            .With("service", step.order.service)
+            .With("to", step.order.to)
+            .With("phase", ToName(step.phase))
+            .With("why", step.reason)
+            .With("age_ms", ToMilliseconds(step.age))
+            .With("duration_ms", ToMilliseconds(step.order.duration))
+            .With("new_requests", step.new_counts.requests)
+            .With("new_failures", step.new_counts.failures)
+            .With("new_slow", step.new_counts.slow)
+            .With("nodes_heard", step.nodes_heard)
+            .With("report_age_ms_below",
+                  ToMilliseconds(ServiceRollout::kFreshTime))
+            .With("epoch", step.order.version.epoch)
+            .With("revision", step.order.version.revision),
+        GatewayEvent::kRolloutStep);
   }
   if (!may_write || stopped_ || write_open_ || now < no_write_before_) {
     return;
@@ -134,9 +134,9 @@
     return;
   }
   const auto object =
-      IsSuccess(reply) ? state_.codec.store.read_object(reply.body)
-                       : Result<StoredObject>(Error(ErrorKind::kPeerMalformed,
-                                                    "no answer"));
+      IsSuccess(reply)
+          ? state_.codec.store.read_object(reply.body)
+          : Result<StoredObject>(Error(ErrorKind::kPeerMalformed, "no answer"));
   if (!object || object.value().name != name) {
     EndWrite(false);
     return;
@@ -147,16 +147,16 @@
     EndWrite(true);
     return;
   }
-  connection_.Send(state_.codec.store.replace_status(
-                       state_.codec.rollout_kind,
-                       {.name = name,
-                        .revision = write->revision,
-                        .content = contents_[name],
-                        .status = state_.codec.write_rollout_status(
-                            write->status)}),
-                   kCallTimeout, [this, write = *write](const CallReply& sent) {
-                     OnWritten(write, sent);
-                   });
+  connection_.Send(
+      state_.codec.store.replace_status(
+          state_.codec.rollout_kind,
+          {.name = name,
+           .revision = write->revision,
+           .content = contents_[name],
+           .status = state_.codec.write_rollout_status(write->status)}),
+      kCallTimeout, [this, write = *write](const CallReply& sent) {
+        OnWritten(write, sent);
+      });
 }
 
 void RolloutControl::OnWritten(const RolloutWrite& write,
--- a/modules/qh_gateway/decisions/rollout/canary_analysis.cpp
+++ b/modules/qh_gateway/decisions/rollout/canary_analysis.cpp
@@ -76,8 +76,7 @@
   if (bad < min_bad || requests == 0) {
     return false;
   }
-  const double share =
-      std::min(0.95, kAcceptedRatio * old_share + accepted);
+  const double share = std::min(0.95, kAcceptedRatio * old_share + accepted);
   const auto n = static_cast<double>(requests);
   return static_cast<double>(bad) >
          n * share + sigmas * std::sqrt(n * share * (1 - share));
@@ -135,19 +134,17 @@
       return describe(scope, "failed", fresh.failures, fresh.requests,
                       old.failures, old.requests);
     }
-    if (with_slow &&
-        IsExcess(fresh.slow, fresh.timed,
-                 std::max(ShareOf(old.slow, old.requests),
-                          ShareOf(all_old.slow, all_old.requests)),
-                 kAcceptedSlow, sigmas, min_bad)) {
+    if (with_slow && IsExcess(fresh.slow, fresh.timed,
+                              std::max(ShareOf(old.slow, old.requests),
+                                       ShareOf(all_old.slow, all_old.requests)),
+                              kAcceptedSlow, sigmas, min_bad)) {
       return describe(scope, "slow", fresh.slow, fresh.timed, old.slow,
                       old.requests);
     }
     return std::nullopt;
   };
-  if (auto fault =
-          check("all routes", Sum(since.new_version), Sum(since.old_version),
-                Sum(counts_.old_version))) {
+  if (auto fault = check("all routes", Sum(since.new_version),
+                         Sum(since.old_version), Sum(counts_.old_version))) {
     return fault;
   }
   const auto find = [](const RouteCounts& routes, const std::string& route) {
--- a/modules/qh_gateway/decisions/rollout/canary_analysis.h
+++ b/modules/qh_gateway/decisions/rollout/canary_analysis.h
@@ -21,8 +21,8 @@
 class CanaryAnalysis {
  public:
   // Slow responses within this part (1/2) of RolloutBounds::rollback_time from
-  // the first response don't count, as the servers are cold. The rest is for the
-  // verdict and its spread.
+  // the first response don't count, as the servers are cold. The rest is for
+  // the verdict and its spread.
   static constexpr int kWarmUpDivisor = 2;
   // Warm-up after the switch, when servers without canary requests get load.
   static constexpr Duration kSwitchWarmUp = std::chrono::milliseconds(1'800);
@@ -32,11 +32,8 @@
   static constexpr Duration kSnapshotInterval = std::chrono::milliseconds(200);
   // Responses after the warm-up that a version needs to pass.
   static constexpr uint64_t kMinSamples = 12;
-  // A route with this many requests at the old version since the order must
-  // have this many responses of the new one since the warm-up.
-  static constexpr uint64_t kRouteRequests = 100;
-  static constexpr uint64_t kMinRouteSamples = 4;
-  // Time after a warm-up in which a fault has to show before the version passes.
+  // Time after a warm-up in which a fault has to show before the version
+  // passes.
   static constexpr Duration kObservation = std::chrono::milliseconds(600);
 
   explicit CanaryAnalysis(Duration rollback_time)
--- a/modules/qh_gateway/decisions/rollout/rollout_book.cpp
+++ b/modules/qh_gateway/decisions/rollout/rollout_book.cpp
@@ -260,17 +260,16 @@
 
 ServerFilter RolloutBook::OldestVersion(const std::string& service) const {
   const auto usable = directory_.Usable(service);
-  const auto oldest = std::min_element(
-      usable.begin(), usable.end(), [](const auto* a, const auto* b) {
-        return a->started_ms < b->started_ms;
-      });
+  const auto oldest = std::min_element(usable.begin(), usable.end(),
+                                       [](const auto* a, const auto* b) {
+                                         return a->started_ms < b->started_ms;
+                                       });
   return oldest == usable.end() ? ServerFilter()
                                 : OfVersion((*oldest)->version);
 }
 
-ServerFilter RolloutBook::WithoutOrder(
-    const std::string& service,
-    TimePoint now) const {
+ServerFilter RolloutBook::WithoutOrder(const std::string& service,
+                                       TimePoint now) const {
   const auto found = versions_.find(service);
   if (found == versions_.end() ||
       found->second.in_use.size() + found->second.appeared.size() < 2) {
@@ -287,10 +286,9 @@
     }
   }
   const auto usable = directory_.Usable(service);
-  const bool has_others =
-      std::any_of(usable.begin(), usable.end(), [&](const auto* server) {
-        return !held.contains(server->version);
-      });
+  const bool has_others = std::any_of(
+      usable.begin(), usable.end(),
+      [&](const auto* server) { return !held.contains(server->version); });
   if (held.empty() || !has_others) {
     return ServerFilter();
   }
@@ -339,8 +337,15 @@
                       : std::vector<ServerFilter>{};
   }
   switch (target) {
-    case RolloutTarget::kAny:
-      return {ServerFilter()};
+    case RolloutTarget::kAny: {
+      const auto abandoned = abandoned_.find(service);
+      if (abandoned == abandoned_.end() || abandoned->second.empty()) {
+        return {ServerFilter()};
+      }
+      return {[versions = abandoned->second](const ServerRecord& server) {
+        return !versions.contains(server.version);
+      }};
+    }
     case RolloutTarget::kOld:
       return {is_old};
     case RolloutTarget::kCanary:
--- a/modules/qh_gateway/decisions/rollout/rollout_types.h
+++ b/modules/qh_gateway/decisions/rollout/rollout_types.h
@@ -112,9 +112,11 @@
   uint64_t failures = 0;
   // Responses to requests that were sent after the warm-up and took long.
   uint64_t slow = 0;
-  // Old version only: times to the first byte, divided by the expected ones,
-  // and mean gaps between events; each with the number summed up.
+  // Responses whose time counts: of the old version all complete ones, of the
+  // new version those to requests that were sent after the warm-up.
   uint64_t timed = 0;
+  // Old version only: times to the first byte divided by the expected ones, and
+  // mean gaps between events with their number.
   double time_ratio_sum = 0;
   uint64_t gaps = 0;
   double gap_ms_sum = 0;
--- a/modules/qh_gateway/decisions/rollout/service_rollout.cpp
+++ b/modules/qh_gateway/decisions/rollout/service_rollout.cpp
@@ -28,6 +28,10 @@
 // Time over which a node's rate of requests is measured.
 constexpr Duration kRateTime = std::chrono::seconds(2);
 constexpr Duration kRateInterval = std::chrono::milliseconds(250);
+// Canary responses per second of all nodes that the analysis needs, and the
+// largest share of the requests for them at a service with few requests.
+constexpr double kSamplesPerSecond = 5;
+constexpr double kMaxCanaryShare = 0.06;
 constexpr const char* kByPeer = "by a peer's word";
 constexpr const char* kByStore = "as stored";
 
@@ -207,8 +211,8 @@
   }
   totals_ = Totals();
   analysis_.Update(totals_, now);
-  const bool is_open = phase_ == RolloutPhase::kCanary ||
-                       phase_ == RolloutPhase::kSwitching;
+  const bool is_open =
+      phase_ == RolloutPhase::kCanary || phase_ == RolloutPhase::kSwitching;
   if (is_open) {
     if (const auto fault = analysis_.FindFault()) {
       Apply(RolloutEvent::kBad, *fault, now);
@@ -232,9 +236,8 @@
     if (now >= deadline() + kDecisionGrace &&
         (had_old_servers_ || new_servers_ == 0)) {
       Apply(RolloutEvent::kExpired,
-            new_servers_ == 0
-                ? "no servers of the version"
-                : "not found good by the deadline",
+            new_servers_ == 0 ? "no servers of the version"
+                              : "not found good by the deadline",
             now);
     }
   }
@@ -255,7 +258,11 @@
 }
 
 bool ServiceRollout::IsTimeToSwitch(TimePoint now) const {
-  const double unused = bounds_.exposure_share - kCanaryShare;
+  const double used = budget_.requests() == 0
+                          ? 0
+                          : static_cast<double>(budget_.exposed()) /
+                                static_cast<double>(budget_.requests());
+  const double unused = bounds_.exposure_share - std::max(used, kCanaryShare);
   const double lead =
       std::max(0.0, unused) / (kSwitchReserve + std::max(0.0, unused));
   return now >= deadline() - FromSeconds(ToSeconds(order_.duration) * lead);
@@ -270,10 +277,9 @@
   if (window_over || budget_.Remaining() >= kSwitchReserve * expected + 1) {
     switched_ = true;
   }
-  const bool lasts = budget_.Remaining() >=
-                     kCloseReserve * expected + kCloseReserveRequests;
-  if (switched_ && (window_over || lasts) && IsFresh(now) &&
-      new_servers_ > 0) {
+  const bool lasts =
+      budget_.Remaining() >= kCloseReserve * expected + kCloseReserveRequests;
+  if (switched_ && (window_over || lasts) && IsFresh(now) && new_servers_ > 0) {
     closed_to_old_ = true;
   }
 }
@@ -300,8 +306,7 @@
       break;
     case RolloutPhase::kPending:
       // The service runs nothing else, so there is nothing to move.
-      if (now >= deadline() && !had_old_servers_ &&
-          new_servers_ > 0) {
+      if (now >= deadline() && !had_old_servers_ && new_servers_ > 0) {
         return wanted(StoredRolloutState::kCompleted);
       }
       break;
@@ -315,13 +320,11 @@
 
 size_t ServiceRollout::canary_servers() const {
   return std::max<size_t>(
-      1, static_cast<size_t>(kCanaryShare *
-                             static_cast<double>(old_servers_)));
+      1, static_cast<size_t>(kCanaryShare * static_cast<double>(old_servers_)));
 }
 
 double ServiceRollout::PulseShare() const {
-  return std::clamp(kCanaryShare *
-                        static_cast<double>(old_servers_) /
+  return std::clamp(kCanaryShare * static_cast<double>(old_servers_) /
                         static_cast<double>(canary_servers()),
                     kMinPulseShare, 1.0);
 }
@@ -332,14 +335,25 @@
 }
 
 double ServiceRollout::ShareOf(const std::string& route) const {
+  const double measured_s =
+      history_.empty() ? 0
+                       : ToSeconds(history_.back().at - history_.front().at);
+  const double rate = measured_s <= 0
+                          ? 0
+                          : static_cast<double>(history_.back().requests -
+                                                history_.front().requests) /
+                                measured_s * static_cast<double>(known_nodes_);
+  const double share = rate <= 0 ? kCanaryShare
+                                 : std::clamp(kSamplesPerSecond / rate,
+                                              kCanaryShare, kMaxCanaryShare);
   const auto found = route_requests_.find(route);
   if (found == route_requests_.end()) {
-    return kCanaryShare;
+    return share;
   }
   const double mean = static_cast<double>(canary_requests_) /
                       static_cast<double>(route_requests_.size());
-  return kCanaryShare * std::clamp(mean / static_cast<double>(found->second),
-                                   1.0, kMaxRouteBoost);
+  return share * std::clamp(mean / static_cast<double>(found->second), 1.0,
+                            kMaxRouteBoost);
 }
 
 void ServiceRollout::OnRequest(const std::string& route, TimePoint now) {
@@ -372,10 +386,9 @@
                  : RolloutTarget::kOld;
     }
     case RolloutPhase::kSwitching: {
-      const bool may_use_new =
-          switched_ && IsFresh(now) &&
-          (now >= deadline() || budget_.Allows() ||
-           (closed_to_old_ && budget_.AllowsLast()));
+      const bool may_use_new = switched_ && IsFresh(now) &&
+                               (now >= deadline() || budget_.Allows() ||
+                                (closed_to_old_ && budget_.AllowsLast()));
       if (closed_to_old_) {
         return may_use_new ? RolloutTarget::kNew : RolloutTarget::kNone;
       }
@@ -384,11 +397,9 @@
     case RolloutPhase::kRolledBack:
       return RolloutTarget::kOld;
     case RolloutPhase::kWithdrawn:
-      return old_servers_ > 0 ? RolloutTarget::kOld
-                                           : RolloutTarget::kAny;
+      return old_servers_ > 0 ? RolloutTarget::kOld : RolloutTarget::kAny;
     case RolloutPhase::kCompleted:
-      return new_servers_ > 0 ? RolloutTarget::kNew
-                                           : RolloutTarget::kAny;
+      return new_servers_ > 0 ? RolloutTarget::kNew : RolloutTarget::kAny;
   }
   return RolloutTarget::kOld;
 }
@@ -398,13 +409,12 @@
                               bool first,
                               TimePoint now) {
   const RolloutTarget target = Target(route, now);
-  const bool allowed =
-      target == RolloutTarget::kAny ||
-      (to_new ? target == RolloutTarget::kCanary ||
-                    target == RolloutTarget::kNewOrOld ||
-                    target == RolloutTarget::kNew
-              : target != RolloutTarget::kNew &&
-                    target != RolloutTarget::kNone);
+  const bool allowed = target == RolloutTarget::kAny ||
+                       (to_new ? target == RolloutTarget::kCanary ||
+                                     target == RolloutTarget::kNewOrOld ||
+                                     target == RolloutTarget::kNew
+                               : target != RolloutTarget::kNew &&
+                                     target != RolloutTarget::kNone);
   if (!allowed) {
     return false;
   }
--- a/modules/qh_gateway/decisions/rollout/service_rollout.h
+++ b/modules/qh_gateway/decisions/rollout/service_rollout.h
@@ -1,15 +1,15 @@
-// One node's view of the rollout of one service, after statecharts/rollout.chart.
-// Load pattern: a new version of a service that may be bad, at once or only
-// later, under load or on one route, while nodes, lease holders and the store
-// fail.
+// One node's view of the rollout of one service, after
+// statecharts/rollout.chart. Load pattern: a new version of a service that may
+// be bad, at once or only later, under load or on one route, while nodes, lease
+// holders and the store fail.
 //
 // Every node counts the responses of both versions and exchanges the sums with
 // its peers. The lease holder moves the rollout on: it begins the canary when
 // the order is stored as active, moves all traffic when the canary analysis has
-// passed and the exposure budget lasts until the deadline, and completes it when
-// no node has open requests on old servers. Any node that finds the new version
-// bad rolls back, so that this needs no lease holder. Phases only advance, and
-// the later of two prevails.
+// passed and the exposure budget lasts until the deadline, and completes it
+// when no node has open requests on old servers. Any node that finds the new
+// version bad rolls back, so that this needs no lease holder. Phases only
+// advance, and the later of two prevails.
 //
 // A node that has heard nothing of most of its peers for kFreshTime sends
 // nothing to the new version, because it would not learn of a verdict.
@@ -102,8 +102,8 @@
   void OnPeer(const PeerReport& peer, TimePoint now);
   // Sets how many servers of the old and of the new version take requests.
   void SetServers(size_t old_servers, size_t new_servers);
-  // Evaluates the counts; several times a second. `known_nodes` are the nodes of
-  // the deployment, this one included; `may_decide` tells whether this node
+  // Evaluates the counts; several times a second. `known_nodes` are the nodes
+  // of the deployment, this one included; `may_decide` tells whether this node
   // holds the lease and the store answers it.
   void OnTick(size_t known_nodes, bool may_decide, TimePoint now);
 
--- a/modules/qh_gateway/forwarding/exchange_attempts.cpp
+++ b/modules/qh_gateway/forwarding/exchange_attempts.cpp
@@ -38,9 +38,8 @@
   Result<ServerPick> pick =
       Error(ErrorKind::kNoServer, "the rollout of " + service_->name +
                                       " allows no server at present");
-  for (ServerFilter& eligible :
-       state_.rollouts.Eligible(service_->name, route_->name, rollout_attempt_,
-                                forwarding_, now)) {
+  for (ServerFilter& eligible : state_.rollouts.Eligible(
+           service_->name, route_->name, rollout_attempt_, forwarding_, now)) {
     pick = state_.picker.Choose({.route = route_,
                                  .service = service_,
                                  .request = &request_,
--- a/modules/qh_gateway/model/wire_codec.h
+++ b/modules/qh_gateway/model/wire_codec.h
@@ -85,8 +85,8 @@
   // Decodes a server's registration. Fails with kPeerMalformed when the object
   // is not one.
   std::function<Result<ServerRecord>(const StoredObject&)> read_server;
-  // Decode the order of a rollout and its status; the order's version is that of
-  // the object. Fail with kPeerMalformed.
+  // Decode the order of a rollout and its status; the order's version is that
+  // of the object. Fail with kPeerMalformed.
   std::function<Result<RolloutOrder>(const StoredObject&)> read_rollout;
   std::function<Result<std::optional<RolloutStatus>>(const StoredObject&)>
       read_rollout_status;
