--- a/modules/qh_gateway/decisions/rollout/rollout_book.h
+++ b/modules/qh_gateway/decisions/rollout/rollout_book.h
@@ -2,6 +2,7 @@
 // from peers, the servers that a request may go to, and the responses of both
 // versions. Load pattern: new versions of several services, while the orders,
 // the servers and the reports reach the nodes in any order.
+// The implementation is in rollout_book.cpp and rollout_book_servers.cpp.
 
 #ifndef QH_GATEWAY_DECISIONS_ROLLOUT_ROLLOUT_BOOK_H_
 #define QH_GATEWAY_DECISIONS_ROLLOUT_ROLLOUT_BOOK_H_
