--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -72,6 +72,7 @@
                   }}),
       verdict_archive_(state_, kGatewayNodeKind),
       deployment_record_(state_),
+      rollout_control_(state_),
       register_connection_(io,
                            settings.store_address,
                            codec.store,
@@ -181,6 +182,19 @@
              node_mirror_.OnConfirmed({state_.store_epoch.current(), revision});
            },
        .list_may_be_old = true});
+  if (settings.rollout_bounds) {
+    rollout_watcher_ =
+        MakeWatcher(codec_.rollout_kind,
+                    {.on_list =
+                         [this](const std::vector<StoredObject>& objects) {
+                           rollout_control_.OnList(objects);
+                         },
+                     .on_change =
+                         [this](const StoredObject& object) {
+                           rollout_control_.OnChange(object);
+                         },
+                     .on_confirmed = [](uint64_t) {}});
+  }
   // The other nodes come first: they decide whether this one follows the store.
   node_watcher_->Start();
   deployment_record_.Start();
@@ -264,6 +278,11 @@
   leader_tasks_.OnTick(now, BootNow(), peers_.nodes().UnresponsiveCount(now),
                        following_);
   state_.is_leader = leader_tasks_.is_leader();
+  if (state_.rollouts.enabled()) {
+    rollout_control_.OnTick(state_.node_count(),
+                            leader_tasks_.MayAct() && FollowsStore(),
+                            now - started_at_, now);
+  }
   ReportAgedState();
   UpdateReadiness();
   FlushLog();
@@ -338,9 +357,10 @@
                        .With("after_ms", ToMilliseconds(stopping)),
                    GatewayEvent::kStopped);
   FlushLog();
-  config_watcher_->Stop();
-  server_watcher_->Stop();
-  node_watcher_->Stop();
+  for (StoreWatcher* watcher : Watchers()) {
+    watcher->Stop();
+  }
+  rollout_control_.Stop();
   leader_tasks_.Stop();
   verdict_archive_.Stop();
   deployment_record_.Stop();
@@ -374,6 +394,7 @@
   if (head.target != "/metrics") {
     return {.status = kNotFound};
   }
+  rollout_control_.SetMetrics(MonotonicNow());
   state_.metrics.Set({.name = "gateway_open_requests"},
                      static_cast<double>(state_.open_requests));
   const ByteBudget& budget = *state_.byte_budget;
--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -6,6 +6,7 @@
 
 #include "qh_core/text/bounded_json.h"
 #include "qh_core/text/utf8.h"
+#include "qh_gateway/control/rollout_report_codec.h"
 
 namespace qh {
 namespace {
@@ -345,6 +346,10 @@
   heartbeat.prefill_rates =
       json.at("reading").get<std::map<std::string, double>>();
   heartbeat.server_speeds = SpeedsFromJson(json);
+  // Nodes of an earlier version don't send rollouts.
+  if (const auto rollouts = json.find("rollouts"); rollouts != json.end()) {
+    heartbeat.rollouts = RolloutReportsFromJson(*rollouts);
+  }
   return heartbeat;
 }
 
@@ -405,6 +410,7 @@
       {"crash", CrashRecordsToJson(crashes.records, crashes.made)},
       {"crash_sound", SoundAnswersToJson(crashes.sound, crashes.made)},
       {"crash_verdicts", VerdictsToJson(crashes.verdicts, crashes.made)},
+      {"rollouts", RolloutReportsToJson(rollouts)},
       {"reading", prefill_rates},
       {"speeds", SpeedsToJson(server_speeds)}};
   std::string bytes;
--- a/modules/qh_gateway/control/peer_heartbeat.h
+++ b/modules/qh_gateway/control/peer_heartbeat.h
@@ -22,6 +22,7 @@
 #include "qh_gateway/decisions/placement/server_load.h"
 #include "qh_gateway/decisions/placement/server_pauses.h"
 #include "qh_gateway/decisions/placement/server_speeds.h"
+#include "qh_gateway/decisions/rollout/rollout_types.h"
 #include "qh_gateway/decisions/servers/server_departures.h"
 #include "qh_gateway/decisions/store/state_freshness.h"
 #include "qh_gateway/decisions/store/store_reachability.h"
@@ -126,6 +127,9 @@
   // Measured prefill rates of single servers.
   SpeedReports server_speeds;
 
+  // Rollouts that the sender knows, summed up over the nodes of `scope`.
+  RolloutReports rollouts;
+
   // Returns the heartbeat as MessagePack.
   std::string Encode() const;
   // Decodes the result of Encode. Fails with kPeerMalformed.
