Admission: order of requests, wait queue and Retry-After as pure decisions

Cause: a request that no server was expected to start in time was refused by arrival, whatever its urgency, work and deadline, and all refused callers were asked back after the same 40 ms.

Change: decisions/admission/ has the order (five variants), a queue bounded in length and by the expected start, shares that promote groups served too seldom, a schedule of returns, and expected work. Exchange uses them for first attempts of services whose servers register more than one slot; see the tests.

--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -237,6 +237,7 @@
   state_.log.OnTick(now);
   state_.directory.OnTick(store_reachability_.KeepsMissingServers(now), now);
   state_.picker.OnTick(now);
+  state_.waiting.OnTick(now);
   state_.ReportRateLimitUse(now);
   state_.connection_pool.OnTick(now);
   state_.crash_tracker.OnTick(now);
--- a/modules/qh_gateway/control/peer_exchange.cpp
+++ b/modules/qh_gateway/control/peer_exchange.cpp
@@ -365,6 +365,7 @@
     return;
   }
   state_.picker.load().OnPeer(source, heartbeat.outstanding_work, now);
+  state_.waiting.ServeAllSoon();
   UpdatePrefillRates(source, heartbeat, now);
 }
 
--- a/modules/qh_gateway/decisions/placement/server_picker.cpp
+++ b/modules/qh_gateway/decisions/placement/server_picker.cpp
@@ -276,13 +276,17 @@
   const double target_ms = Milliseconds(query.route->latency_target);
   const double time_left_ms = Milliseconds(query.time_left);
   const double lateness_factor = kMaxLateness / (1.0 + query.route->priority);
-  const double limit_ms = std::min(kUsableTimeShare * time_left_ms,
-                                   std::max(1.0, lateness_factor) * target_ms);
+  const double own_prefill_ms =
+      query.promoted ? best.prefill_tokens / PrefillRate(query.service->name)
+                     : 0;
+  const double limit_ms =
+      std::min(kUsableTimeShare * time_left_ms,
+               std::max(1.0, lateness_factor) * target_ms + own_prefill_ms);
   const double open_per_slot =
       static_cast<double>(best.outstanding.requests) / best.server->slots;
   const bool overloaded =
       engine ? best.expected_ttfb_ms > limit_ms && open_per_slot > 0.5
-             : open_per_slot >= kMaxOpenPerSlot;
+             : open_per_slot >= query.hold_per_slot.value_or(kMaxOpenPerSlot);
   if (overloaded && query.first_attempt) {
     const double excess_ms =
         engine ? best.expected_ttfb_ms - limit_ms : kServiceMsPerOpenRequest;
--- a/modules/qh_gateway/decisions/placement/server_picker.h
+++ b/modules/qh_gateway/decisions/placement/server_picker.h
@@ -53,6 +53,13 @@
   // Whether this is the request's first attempt. Retries and migrations are
   // never refused as overloaded.
   bool first_attempt = true;
+  // The request's route, team or size class is served too seldom. Its own
+  // prefill then doesn't count against the limit on the expected time, so that
+  // small requests don't always take the room before a large one.
+  bool promoted = false;
+  // Set if the request can wait at this node for room. It is then refused as
+  // overloaded when a plain server has this many in flight per slot.
+  std::optional<double> hold_per_slot;
 };
 
 // The server picked for an attempt.
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -379,6 +379,7 @@
                      GatewayEvent::kServerEjected);
   }
   state_.connection_pool.Release(connection, now);
+  OnServerReleased(outcome, now);
 }
 
 }  // namespace qh
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -56,6 +56,8 @@
  private:
   // No attempt is started with less time left than this.
   static constexpr Duration kMinAttemptTime = std::chrono::milliseconds(15);
+  static constexpr Duration kNoServerRetryAfter =
+      std::chrono::milliseconds(400);
 
   using HeadFields = std::vector<HttpField>;
 
@@ -75,6 +77,8 @@
   // Attempts: picks a server, gets a connection to it and sends the request.
   Result<ServerPick> Choose(TimePoint now);
   void StartAttempt();
+  // Connects to the server that was picked for the first or a further attempt.
+  void Connect(const ServerPick& pick, TimePoint now);
   void OnConnectionReady(const ServerPick& pick,
                          const ServerConnectionPtr& connection);
   // No connection to the server could be made.
@@ -93,6 +97,40 @@
   // Takes the request back from a server that has not begun to answer it, if it
   // is blocked now.
   void OnFeaturesBlocked();
+
+  // Waiting for room at the servers (exchange_waiting.cpp). Only the first
+  // attempt waits, and only until a server was picked.
+  // Waits if others wait already. Returns whether it does.
+  bool WaitBehindOthers(TimePoint now);
+  // Waits for room after `error` if there can be some in time. Returns whether
+  // it does.
+  bool WaitForRoom(const Error& error, TimePoint now);
+  void Wait(TimePoint now);
+  bool CanWait() const;
+  // See PickQuery::hold_per_slot.
+  std::optional<double> HoldPerSlot() const;
+  // Fills in admission_. `slots` are those of the service's servers.
+  void DescribeForAdmission(double slots, TimePoint now);
+  // The slots of the service's servers; zero if they are not known.
+  double ServiceSlots() const;
+  // The priority by which capacity is allocated, see UrgencyStep.
+  int Urgency() const;
+  WaitingRequests::StartOutcome TryStartWaiting(TimePoint now);
+  void OnWaitRefused(const WaitQueue::Refusal& refusal);
+  // Returns a refusal for want of capacity with the time at which there is
+  // expected to be room.
+  Error WithScheduledReturn(const Error& error, TimePoint now);
+  // Remembers a refusal that asks the caller to come back.
+  void RememberRefusal(const Error& error);
+  // The request was sent to a server.
+  void OnAdmitted(TimePoint now);
+  // A request that was started from the queue was sent, or won't be.
+  void EndStarting();
+  // The request does not wait any more, however it ended.
+  void LeaveQueue(TimePoint now);
+  // An attempt ended at its server.
+  void OnServerReleased(AttemptOutcome outcome, TimePoint now);
+
   // Arms the timer that ends the exchange at `when`.
   void ArmDeadlineTimer(TimePoint when);
   // The node ends: answers the request, or breaks off an answer that has begun.
@@ -198,6 +236,17 @@
   // to be.
   bool is_trial_ = false;
 
+  // The request as admission decisions see it; nullopt for services whose
+  // servers' slots are not known.
+  std::optional<AdmissionRequest> admission_;
+  WaitQueue::Class admission_class_;
+  // Id in the wait queue; zero while the request does not wait there.
+  WaitQueue::Id wait_id_ = 0;
+  // A server was picked for the request.
+  bool admitted_ = false;
+  // The request was started from the wait queue and is not sent yet.
+  bool starting_ = false;
+
   // Connection of the current attempt; null between attempts.
   ServerConnectionPtr connection_;
   // The last server that the request was sent to.
--- a/modules/qh_gateway/forwarding/exchange_answer.cpp
+++ b/modules/qh_gateway/forwarding/exchange_answer.cpp
@@ -65,6 +65,9 @@
                                    sink_.begin_answer()),
               true);
   const ErrorAnswer& reported_answer = AnswerFor(reported.kind());
+  if (reported_answer.executed == Executed::kNo) {
+    RememberRefusal(reported);
+  }
   LogOutcome(reported_answer.executed == Executed::kNo
                  ? GatewayEvent::kRequestRefused
                  : GatewayEvent::kRequestFailed,
@@ -100,6 +103,7 @@
   if (std::exchange(finished_, true)) {
     return;
   }
+  LeaveQueue(MonotonicNow());
   --state_.open_requests;
   state_.stop_listeners.erase(this);
   if (!may_have_run_ && team_ != nullptr && charged_units_ > 0) {
--- a/modules/qh_gateway/forwarding/exchange_attempts.cpp
+++ b/modules/qh_gateway/forwarding/exchange_attempts.cpp
@@ -15,7 +15,6 @@
 // time that the picker expected.
 constexpr int kFirstByteTimeoutFactor = 2;
 constexpr int kExpectedTimeFactor = 4;
-constexpr auto kNoServerRetryAfter = std::chrono::milliseconds(400);
 // Priorities sent to engines are 0 (most urgent) to 9.
 constexpr int kMaxPriority = 9;
 // Lower bound on the connections of a node to one server; fewer would limit its
@@ -40,8 +39,10 @@
                                .request = &request_,
                                .tried_servers = tried_servers_,
                                .time_left = TimeLeft(now),
-                               .priority = Priority(),
-                               .first_attempt = attempts_ == 0},
+                               .priority = Urgency(),
+                               .first_attempt = attempts_ == 0,
+                               .promoted = admission_class_.promoted,
+                               .hold_per_slot = HoldPerSlot()},
                               now);
 }
 
@@ -51,20 +52,30 @@
     OnDeadline();
     return;
   }
+  if (WaitBehindOthers(now)) {
+    return;
+  }
   const auto pick = Choose(now);
   if (!pick) {
-    Error error = pick.error();
+    if (WaitForRoom(pick.error(), now)) {
+      return;
+    }
+    Error error = WithScheduledReturn(pick.error(), now);
     if (error.kind() == ErrorKind::kNoServer) {
       error = error.WithRetryAfter(kNoServerRetryAfter);
     }
     AnswerWithError(error);
     return;
   }
-  const ServerRecord* server = state_.directory.Find(pick.value().server);
+  Connect(pick.value(), now);
+}
+
+void Exchange::Connect(const ServerPick& pick, TimePoint now) {
+  admitted_ = true;
+  const ServerRecord* server = state_.directory.Find(pick.server);
   state_.connection_pool.Acquire(
       *server, !route_->retryable(), MaxConnections(), now,
-      [self = shared_from_this(),
-       pick = pick.value()](const ServerConnectionPtr& connection) {
+      [self = shared_from_this(), pick](const ServerConnectionPtr& connection) {
         self->OnConnectionReady(pick, connection);
       });
 }
@@ -149,6 +160,7 @@
   tried_servers_.insert(pick.server);
   may_have_run_ = true;
   state_.picker.OnSent(pick, request_);
+  OnAdmitted(now);
   state_.prefill_tokens[service_->name] += pick.prefill_tokens;
   state_.sends[service_->name] += 1;
   state_.server_leaving_listeners[pick.server][this] =
@@ -171,7 +183,7 @@
                            : event_splitter_.last_id(),
       .migration_handle = std::exchange(migrated_kv_handle_, {})};
   if (service_->engine) {
-    dispatch.priority = std::clamp(Priority(), 0, kMaxPriority);
+    dispatch.priority = std::clamp(Urgency(), 0, kMaxPriority);
   }
   const auto weak = weak_from_this();
   connection->SendRequest(
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -41,6 +41,7 @@
           kHeartbeatsToExpiry * settings.server_heartbeat),
       picker(directory, settings.failure_domain, seed),
       connection_pool(io, codec),
+      waiting(io, log, metrics, seed),
       team_rate_limiter({.window = settings.limit_window,
                          .share = settings.limit_overage,
                          .units = settings.limit_tolerance},
@@ -202,6 +203,7 @@
     picker.rate_limits().OnStarted({server.id, server.started_ms},
                                    MonotonicNow());
   }
+  waiting.ServeSoon(server.service);
   if (change == ServerChange::kDraining && (server.leaves_in || server.spot)) {
     // A server that does not announce its end serves for the drain time at
     // least.
--- a/modules/qh_gateway/forwarding/gateway_state.h
+++ b/modules/qh_gateway/forwarding/gateway_state.h
@@ -21,6 +21,7 @@
 #include "qh_gateway/decisions/store/store_epoch.h"
 #include "qh_gateway/decisions/usage/usage_ledger.h"
 #include "qh_gateway/forwarding/server_connection_pool.h"
+#include "qh_gateway/forwarding/waiting_requests.h"
 #include "qh_gateway/model/wire_codec.h"
 #include "qh_metrics/metrics_registry.h"
 #include "qh_net/byte_budget.h"
@@ -94,6 +95,8 @@
   ServerDirectory directory;
   ServerPicker picker;
   ServerConnectionPool connection_pool;
+  // Requests that wait for room at servers.
+  WaitingRequests waiting;
   TeamRateLimiter team_rate_limiter;
   ServiceRetryBudget retry_budget;
   UsageLedger usage;
