Tests of waiting requests over sockets

Change: room is made by a caller that disconnects; the scripted server's stalled connections can't send an answer with the request's id.

--- a/tests/qh_gateway/waiting_test.cpp
+++ b/tests/qh_gateway/waiting_test.cpp
@@ -23,7 +23,7 @@
   return text.find(part) != std::string::npos;
 }
 
-// A server that answers nothing until EndStalled or SendStalled.
+// The script of a server that answers nothing.
 ScriptedReply Stall(size_t /*request*/, const HttpHead& /*head*/) {
   return {.then = Then::kStall};
 }
@@ -37,11 +37,14 @@
   ScriptedServer& FillServer(const std::string& id = "a") {
     ScriptedServer& server = AddServer(id, "plain", Stall);
     for (size_t i = 0; i < kHeldAt; ++i) {
-      SendRequest("GET", "/unsafe/x", "f" + std::to_string(i));
+      running = &SendRequest("GET", "/unsafe/x", "f" + std::to_string(i));
     }
     REQUIRE(RunUntil([&] { return server.requests().size() == kHeldAt; }));
     return server;
   }
+  // The caller of a request that runs at the server.
+  ScriptedCaller* running = nullptr;
+
   ScriptedCaller& SendWaiting(const std::string& id = "w",
                               const std::string& more = "") {
     const size_t before = state.waiting.size();
@@ -60,7 +63,8 @@
   RunFor(milliseconds(20));
   CHECK(server.requests().size() == kHeldAt);
   CHECK(caller.received().empty());
-  server.SendStalled(StampedAnswer(200, "ok"));
+  // Its request is cancelled at the server.
+  running->Disconnect();
   REQUIRE(RunUntil([&] { return server.requests().size() == kHeldAt + 1; }));
   CHECK(state.waiting.size() == 0);
 }
@@ -81,7 +85,7 @@
   ScriptedServer& server = FillServer();
   SendWaiting().Disconnect();
   REQUIRE(RunUntil([&] { return state.waiting.size() == 0; }));
-  server.SendStalled(StampedAnswer(200, "ok"));
+  running->Disconnect();
   RunFor(milliseconds(50));
   CHECK(server.requests().size() == kHeldAt);
 }
