Admission: room is taken one request at a time, slow servers keep a short queue

Cause: two waiting requests could be started before the first counted as load, so that a server got one more than the limit. At 1 request per slot a server that is free before peers' reports say so has nothing queued. Change: one start at a time, not held up beyond a tick; 1.5 requests per slot as the lower bound. The most urgent waiting request is tested over sockets.

--- a/modules/qh_gateway/decisions/admission/service_times.h
+++ b/modules/qh_gateway/decisions/admission/service_times.h
@@ -18,7 +18,7 @@
   static constexpr double kInitialMs = 30;
   // Bounds on HoldPerSlot. The servers' queues are in order of arrival; they
   // hold as much as is served until peers' reports arrive.
-  static constexpr double kMinHoldPerSlot = 1;
+  static constexpr double kMinHoldPerSlot = 1.5;
   static constexpr double kMaxHoldPerSlot = 3;
 
   // A request of `route` was answered by a server with free slots, `took` after
--- a/modules/qh_gateway/forwarding/waiting_requests.cpp
+++ b/modules/qh_gateway/forwarding/waiting_requests.cpp
@@ -10,7 +10,7 @@
 
 // Requests of one service that may be started and not sent yet. Servers' load
 // does not show them, so more of them would overrun a server.
-constexpr size_t kMaxStarting = 2;
+constexpr size_t kMaxStarting = 1;
 // Requests that are tried in order when the first has no room at any server,
 // e.g. because its prompt is long.
 constexpr size_t kMaxTried = 4;
@@ -176,6 +176,10 @@
 }
 
 void WaitingRequests::OnTick(TimePoint now) {
+  // A server that is slow to connect to must not hold the others up.
+  for (auto& [name, service] : services_) {
+    service.starting = 0;
+  }
   ServeAllSoon();
   Report(now);
 }
--- a/tests/qh_gateway/waiting_test.cpp
+++ b/tests/qh_gateway/waiting_test.cpp
@@ -16,6 +16,9 @@
 // Requests wait up to 610 ms: the target less three times 30 ms of work.
 constexpr const char* kWaitingConfig = R"({"version":9,"routes":[
   {"name":"unsafe","host":"h","pathPrefix":"/unsafe/","routeKind":"unsafe",
+   "service":"plain","timeoutMs":1500,"targetLatencyMs":700,
+   "anonymous":true,"priority":1},
+  {"name":"urgent","host":"h","pathPrefix":"/urgent/","routeKind":"unsafe",
    "service":"plain","timeoutMs":1500,"targetLatencyMs":700,
    "anonymous":true}],"services":[{"name":"plain"}]})";
 
@@ -69,6 +72,17 @@
   CHECK(state.waiting.size() == 0);
 }
 
+TEST_CASE_METHOD(WaitingFixture, "the most urgent request is started first") {
+  ScriptedServer& server = FillServer();
+  SendWaiting("w");
+  SendRequest("GET", "/urgent/x", "u");
+  REQUIRE(RunUntil([&] { return state.waiting.size() == 2; }));
+  running->Disconnect();
+  REQUIRE(RunUntil([&] { return server.requests().size() == kHeldAt + 1; }));
+  CHECK(server.requests().back().target == "/urgent/x");
+  CHECK(state.waiting.size() == 1);
+}
+
 TEST_CASE_METHOD(WaitingFixture,
                  "a request that no server starts in time is refused") {
   ScriptedServer& server = FillServer();
