--- a/modules/qh_gateway/control/peer_exchange.cpp
+++ b/modules/qh_gateway/control/peer_exchange.cpp
@@ -374,6 +374,7 @@
     return;
   }
   state_.picker.load().OnPeer(source, heartbeat.outstanding_work, now);
+  state_.waiting.ServeAllSoon();
   UpdatePrefillRates(source, heartbeat, now);
   const size_t invalid =
       state_.picker.speeds().OnPeer(source, heartbeat.server_speeds, now);
--- a/modules/qh_gateway/decisions/placement/server_picker.h
+++ b/modules/qh_gateway/decisions/placement/server_picker.h
@@ -62,6 +62,13 @@
   // The shortest target for the time between two events among the streams of
   // the service; nullopt takes the route's.
   std::optional<Duration> service_gap_target;
+  // The request's route, team or size class is served too seldom. Its own
+  // prefill then doesn't count against the limit on the expected time, so that
+  // small requests don't always take the room before a large one.
+  bool promoted = false;
+  // Set if the request can wait at this node for room. It is then refused as
+  // overloaded when a plain server has this many in flight per slot.
+  std::optional<double> hold_per_slot;
 };
 
 // The server picked for an attempt.
