--- a/modules/qh_gateway/decisions/rollout/service_rollout.h
+++ b/modules/qh_gateway/decisions/rollout/service_rollout.h
@@ -184,8 +184,6 @@
   TimePoint since_;
   RolloutPhase phase_;
   std::optional<RolloutStatus> stored_;
-  // This node knows what happened since the order, itself or by a peer's word.
-  bool complete_ = false;
   // When this node learned of the order.
   TimePoint learned_at_;
   // Why the phase was entered.
@@ -193,7 +191,6 @@
   size_t known_nodes_ = 1;
   size_t old_servers_ = 0;
   size_t new_servers_ = 0;
-  bool had_old_servers_ = false;
   TimePoint ticked_at_;
   ExposureBudget budget_;
   CanaryAnalysis analysis_;
@@ -210,6 +207,9 @@
   uint64_t canary_requests_ = 0;
   // Recent states of the budget's request count, oldest first.
   std::deque<Requests> history_;
+  bool had_old_servers_ = false;
+  // This node knows what happened since the order, itself or by a peer's word.
+  bool complete_ = false;
   // This node sends to the new version what the budget allows.
   bool switched_ = false;
   // This node sends nothing more to old servers. Stays set until the rollout is
