--- a/tests/qh_gateway/control_test.cpp
+++ b/tests/qh_gateway/control_test.cpp
@@ -334,6 +334,7 @@
 TEST_CASE("orders cover the rise until ordered servers have started") {
   ServiceRule service = Scaled();
   service.scaling->boot_time = seconds(4);
+  service.scaling->max_servers = 1'000;
   const Fleet fleet(2, 0);
   const auto ordered = [&](double rise_per_second) {
     CapacityPlanner planner(CapacityPlanner::Settings{});
