Reading pass: rollouts, admission, limits, placement, connection limits

Comments name what is counted, over which span and why: the waits that are granted, the margins over the required shares, the conditions of closing to old servers, the levels of progress of a connection.

Local names: DifferenceOrZero, LastMissesStart, kMinWaitDivisor, accepted_wait. Reasons in rollout_step lines say 'reported by a peer', 'status in the store' and 'responses since the order are not known'.

--- a/modules/qh_gateway/control/rollout_control.cpp
+++ b/modules/qh_gateway/control/rollout_control.cpp
@@ -42,7 +42,8 @@
   } else {
     rollout.mistake = order.error().detail();
   }
-  // The status' own changes are no new order.
+  // Writing the status raises the object's revision without making it a new
+  // order.
   uint64_t revision = object.revision;
   if (rollout.status && rollout.status->to == rollout.order.to &&
       rollout.status->order_revision > 0 &&
--- a/modules/qh_gateway/control/rollout_control.h
+++ b/modules/qh_gateway/control/rollout_control.h
@@ -41,7 +41,7 @@
   void Stop();
 
  private:
-  // Reads an object; logs one that is no order that can be followed.
+  // Decodes an object; logs one whose order or status can't be read.
   StoredRollout Read(const StoredObject& object);
   // Reads the object anew, and writes the status that it then needs.
   void StartWrite(const RolloutWrite& write);
@@ -55,9 +55,9 @@
   bool write_open_ = false;
   bool stopped_ = false;
   TimePoint no_write_before_;
-  // Content of the orders as last read, which a status is written with.
+  // Content of the orders as last read; a write of the status repeats it.
   std::map<std::string, std::string> contents_;
-  // Revisions whose mistake was logged, by name.
+  // Revision of each object that was last logged as unreadable, by name.
   std::map<std::string, uint64_t> logged_;
 };
 
--- a/modules/qh_gateway/control/rollout_report_codec.cpp
+++ b/modules/qh_gateway/control/rollout_report_codec.cpp
@@ -8,7 +8,7 @@
 
 using Json = nlohmann::json;
 
-// Bounds of what a report can mean.
+// Reports with larger values are left out as malformed.
 constexpr uint64_t kMaxCount = 1'000'000'000'000;
 constexpr uint32_t kMaxNodes = 100'000;
 constexpr Duration kMaxTime = std::chrono::hours(48);
--- a/modules/qh_gateway/decisions/admission/admission_order.h
+++ b/modules/qh_gateway/decisions/admission/admission_order.h
@@ -52,8 +52,8 @@
   TimePoint last_start;
   // Expected time in a server's slot, in milliseconds; positive.
   double work_ms = 1;
-  // The request was refused before with a time to come back, and came back
-  // then.
+  // The request was refused before with a Retry-After, and its caller returned
+  // at that time.
   bool returned = false;
   // By how much its team asks for more than others, see
   // ServedShares::Crowding.
--- a/modules/qh_gateway/decisions/admission/drain_rate.h
+++ b/modules/qh_gateway/decisions/admission/drain_rate.h
@@ -1,4 +1,5 @@
-// How fast a wait queue is served: work started per time while requests wait.
+// Measures how fast a wait queue is served: the work started per unit of time
+// while requests wait.
 //
 // Load pattern: capacity that changes while requests wait, e.g. drops to a
 // quarter.
@@ -14,7 +15,8 @@
  public:
   // What was measured counts with a weight that decreases to 1/e in this time.
   static constexpr Duration kMemory = std::chrono::milliseconds(300);
-  // The assumed rate counts as much as a measurement over this time.
+  // The assumed rate counts as much as a measurement over this time, so that
+  // the first starts don't decide alone.
   static constexpr Duration kAssumedFor = std::chrono::milliseconds(50);
 
   // Sets the rate that is assumed until one was measured, in milliseconds of
--- a/modules/qh_gateway/decisions/admission/retry_schedule.cpp
+++ b/modules/qh_gateway/decisions/admission/retry_schedule.cpp
@@ -21,9 +21,9 @@
       promised_until_.begin() + static_cast<std::ptrdiff_t>(step) + 1);
   const Duration wait = std::clamp(std::max(room_in, promised - now),
                                    kMinRetryAfter, kMaxRetryAfter);
-  const Duration patience = FromSeconds(
+  const Duration accepted_wait = FromSeconds(
       kCallerPatience * std::max(0.0, ToSeconds(request.last_start - now)));
-  if (wait <= patience) {
+  if (wait <= accepted_wait) {
     const double spacing_ms =
         request.work_ms / std::max(rate * kReturnShare, 1e-6);
     promised_until_[step] =
--- a/modules/qh_gateway/decisions/admission/retry_schedule.h
+++ b/modules/qh_gateway/decisions/admission/retry_schedule.h
@@ -16,13 +16,15 @@
 
 class RetrySchedule {
  public:
+  // Bounds on the time until a refused caller is asked to return, before it is
+  // spread at random.
   static constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
   static constexpr Duration kMaxRetryAfter = std::chrono::seconds(10);
   // Part of the capacity that returning callers get; the rest is for new
   // requests.
   static constexpr double kReturnShare = 0.5;
-  // Callers come back at all if they are asked to within this share of the
-  // time that they have left.
+  // A caller is expected to return only if it is asked to within this share of
+  // its time to the deadline. No capacity is reserved for the others.
   static constexpr double kCallerPatience = 1.0 / 3;
 
   explicit RetrySchedule(uint64_t seed) : rng_(seed) {}
--- a/modules/qh_gateway/decisions/admission/returned_requests.h
+++ b/modules/qh_gateway/decisions/admission/returned_requests.h
@@ -17,10 +17,12 @@
 
 class ReturnedRequests {
  public:
+  // The oldest refusals beyond this number are forgotten.
   static constexpr size_t kMaxRemembered = 4'096;
   // A request counts as returned up to this long after the time named.
   static constexpr Duration kReturnWindow = std::chrono::seconds(2);
-  // Tolerance for callers whose clocks run fast, or that round.
+  // A request counts as returned from this long before the time named, for
+  // callers whose clocks run fast or that round.
   static constexpr Duration kEarly = std::chrono::milliseconds(5);
 
   // The request with hash `content` was refused and asked to come back then.
@@ -30,8 +32,8 @@
   bool TakeReturned(uint64_t content, TimePoint now);
 
  private:
-  // When the request was asked to come back, by content. The same contents
-  // stand in order_, the oldest refusal first, with those taken already.
+  // When the request was asked to come back, by content. order_ lists the
+  // contents by refusal, the oldest first, including those taken already.
   std::unordered_map<uint64_t, TimePoint> come_back_;
   std::deque<uint64_t> order_;
 };
--- a/modules/qh_gateway/decisions/admission/served_shares.h
+++ b/modules/qh_gateway/decisions/admission/served_shares.h
@@ -19,14 +19,15 @@
  public:
   // Requests count with a weight that decreases to 1/e in this time.
   static constexpr Duration kMemory = std::chrono::seconds(5);
-  // A group is promoted below this multiple of the share of all requests. A
-  // quarter is required; the rest is a margin for groups of few requests.
+  // A group is promoted below this multiple of the share of all requests.
+  // docs/design/overload-and-rollouts.md requires a quarter; the rest is a
+  // margin for groups with few requests.
   static constexpr double kGroupFloor = 0.3;
   // The largest tenth of a route is promoted below this multiple of the
-  // route's share. Half is required.
+  // route's share. The same document requires half.
   static constexpr double kLargeFloor = 0.55;
-
-  // Less than the value of a step of priority, so that priority goes first.
+  // Largest value of Crowding. Less than the factor for a step of priority, so
+  // that the priority decides first.
   static constexpr double kMaxCrowding = 3;
 
   // A request came; one that returned has been counted before. Returns whether
@@ -42,6 +43,7 @@
   // requests count as served while they wait, so that no more are promoted
   // than a group lacks.
   void OnPromotedWaits(const AdmissionRequest& request, bool large, bool waits);
+  // The request was sent to a server.
   void OnServed(const AdmissionRequest& request, bool large, TimePoint now);
 
  private:
--- a/modules/qh_gateway/decisions/admission/service_times.h
+++ b/modules/qh_gateway/decisions/admission/service_times.h
@@ -1,5 +1,7 @@
-// Expected work of requests: measured times for plain services, and tokens for
-// model engines.
+// Estimates the work of requests, as time in a server's slot: from measured
+// times for plain services, and from tokens for model engines.
+//
+// Load pattern: requests of very different size that compete for capacity.
 
 #ifndef QH_GATEWAY_DECISIONS_ADMISSION_SERVICE_TIMES_H_
 #define QH_GATEWAY_DECISIONS_ADMISSION_SERVICE_TIMES_H_
@@ -16,8 +18,9 @@
  public:
   // Assumed for a plain request until a time has been measured.
   static constexpr double kInitialMs = 30;
-  // Bounds on HoldPerSlot. The servers' queues are in order of arrival; they
-  // hold as much as is served until peers' reports arrive.
+  // Bounds on HoldPerSlot. Servers queue in order of arrival, so that they
+  // should get little beyond their slots; but enough to stay busy until peers'
+  // reports show that they have room.
   static constexpr double kMinHoldPerSlot = 1.5;
   static constexpr double kMaxHoldPerSlot = 3;
 
--- a/modules/qh_gateway/decisions/admission/wait_queue.cpp
+++ b/modules/qh_gateway/decisions/admission/wait_queue.cpp
@@ -98,7 +98,7 @@
           .retry_after = RetryAfter(refused.request, now)};
 }
 
-bool WaitQueue::LastIsHopeless(TimePoint now) const {
+bool WaitQueue::LastMissesStart(TimePoint now) const {
   const AdmissionRequest& last =
       waiting_.at(by_order_.rbegin()->second).request;
   const double rate = drain_.Rate(now);
@@ -119,7 +119,7 @@
   }
   while (!waiting_.empty()) {
     const bool full = waiting_.size() > options_.max_waiting;
-    if (!full && !LastIsHopeless(now)) {
+    if (!full && !LastMissesStart(now)) {
       break;
     }
     refused.push_back(Refuse(by_order_.rbegin()->second,
--- a/modules/qh_gateway/decisions/admission/wait_queue.h
+++ b/modules/qh_gateway/decisions/admission/wait_queue.h
@@ -32,7 +32,7 @@
   kTargetMissed,
   // Its deadline can't be met any more.
   kDeadlineMissed,
-  // The queue was full, and the request the least valuable one.
+  // The queue was full, and the request was the last in order.
   kGaveWay,
 };
 
@@ -115,12 +115,14 @@
     TimePoint since;
   };
 
+  // Returns when a waiting request has missed its latency target or deadline.
   static TimePoint OverdueAt(const AdmissionRequest& request);
   // Removes the request from every index.
   Waiting Take(Id id, TimePoint now);
   Refusal Refuse(Id id, WaitEnd reason, TimePoint now);
-  // Whether the last request in order is not expected to start in time.
-  bool LastIsHopeless(TimePoint now) const;
+  // Whether the last request in order is not expected to start before it is
+  // overdue.
+  bool LastMissesStart(TimePoint now) const;
 
   Options options_;
   // The waiting requests, and the same in the order in which they are served
@@ -132,8 +134,8 @@
   double waiting_work_ms_ = 0;
   Id last_id_ = 0;
   DrainRate drain_;
-  // Work that was put before the last request in order; a request at the end
-  // of the order waits for that too.
+  // Rate at which work is put before the last request in order. It reduces the
+  // rate at which that request advances.
   DrainRate overtaking_;
   ServedShares shares_;
   RetrySchedule retries_;
--- a/modules/qh_gateway/decisions/limits/team_limit_order.cpp
+++ b/modules/qh_gateway/decisions/limits/team_limit_order.cpp
@@ -58,8 +58,8 @@
     requests.rate += more;
     rest -= more;
   }
-  // What nobody asks for is divided like the demand, so that a rise of a class
-  // finds something saved.
+  // The rest is divided in proportion to demand, so that a class whose demand
+  // rises has units saved.
   for (auto& [key, requests] : classes_) {
     requests.rate += std::max(rest, 0.0) * requests.demand / demand;
   }
--- a/modules/qh_gateway/decisions/limits/team_limit_order.h
+++ b/modules/qh_gateway/decisions/limits/team_limit_order.h
@@ -1,7 +1,9 @@
 // Order of a team's requests while the team sends more than its limit grants.
-// Addresses bursts of a team with small, urgent requests beside large, less
-// urgent ones: in arrival order a large request leaves a debt that the small
-// ones after it pay for, and all refused callers return together.
+//
+// Load pattern: bursts of a team with small, urgent requests beside large, less
+// urgent ones. In order of arrival, a large request uses units in advance, so
+// that the small ones after it are refused, and all refused callers return
+// together.
 //
 // The node's share of what the limit grants is divided among classes of
 // requests by priority and size: each class gets at least kGuaranteedShare of
@@ -35,16 +37,17 @@
   // Priorities of this and above are one class.
   static constexpr int kLeastPriority = 9;
 
-  // Adds what this node may admit from now on, in units per second. Waits are
-  // told as if that were `usual_rate`.
+  // Adds to what the classes have saved since the last call. From now on this
+  // node may admit `rate` units per second; waits are computed from
+  // `usual_rate`, which doesn't vary with what is available at the moment.
   void Fill(double rate, double usual_rate, TimePoint now);
   // Notes a request that arrived, whether it is admitted or not.
   void OnRequest(int priority, double units, TimePoint now);
   // Returns nullopt if the request's class has saved its units, else the time
   // until it will have, after those that were refused before it.
   std::optional<Duration> WaitFor(int priority, double units) const;
-  // Returns the time until those refused before a request of this class have
-  // got their units.
+  // Returns the time until the requests of this class that were refused before
+  // will have their units.
   Duration TimeForReturning(int priority, double units) const;
   // Takes the units of an admitted request.
   void Take(int priority, double units);
@@ -58,7 +61,7 @@
 
  private:
   struct Class {
-    // Units per second that arrive, and that the class gets.
+    // Units per second that arrive, and units per second that the class gets.
     double demand = 0;
     double rate = 0;
     // Units saved; at least zero.
--- a/modules/qh_gateway/decisions/placement/engine_estimate.h
+++ b/modules/qh_gateway/decisions/placement/engine_estimate.h
@@ -41,7 +41,7 @@
   OutstandingWork outstanding;
 };
 
-// What the estimate needs to know of a request.
+// The part of a request that the estimate depends on.
 struct EngineRequest {
   double prompt_tokens = 0;
   // Tokens at the beginning of the prompt that the engine has likely cached.
--- a/modules/qh_gateway/decisions/placement/server_speeds.h
+++ b/modules/qh_gateway/decisions/placement/server_speeds.h
@@ -135,7 +135,7 @@
     SpeedReport report;
     TimePoint received_at;
   };
-  // The speed of a server process.
+  // Speed and weight of a server process, as of the last update.
   struct Known {
     int64_t started_ms = 0;
     double speed = 1;
--- a/modules/qh_gateway/decisions/rollout/canary_analysis.cpp
+++ b/modules/qh_gateway/decisions/rollout/canary_analysis.cpp
@@ -13,8 +13,9 @@
 // The new version may have this multiple of the old one's share of bad
 // responses, as both shares are estimates.
 constexpr double kAcceptedRatio = 1.25;
-// Standard deviations of chance and bad responses that make a fault, or a
-// doubt.
+// Standard deviations beyond chance, and number of bad responses, from which
+// they are a fault, which rolls the version back, or a doubt, which only keeps
+// it from passing.
 constexpr double kFaultSigmas = 3;
 constexpr uint64_t kFaultCount = 4;
 constexpr double kDoubtSigmas = 1.5;
@@ -32,8 +33,9 @@
   return sum;
 }
 
-uint64_t Less(uint64_t a, uint64_t b) {
-  // A sum falls when a node restarts.
+// Returns a - b, or zero if that is negative: a sum decreases when a node
+// restarts and loses its counts.
+uint64_t DifferenceOrZero(uint64_t a, uint64_t b) {
   return a > b ? a - b : 0;
 }
 
@@ -44,10 +46,10 @@
     const ResponseCounts base =
         found == before.end() ? ResponseCounts() : found->second;
     ResponseCounts& rest = difference[route];
-    rest.requests = Less(counts.requests, base.requests);
-    rest.failures = Less(counts.failures, base.failures);
-    rest.slow = Less(counts.slow, base.slow);
-    rest.timed = Less(counts.timed, base.timed);
+    rest.requests = DifferenceOrZero(counts.requests, base.requests);
+    rest.failures = DifferenceOrZero(counts.failures, base.failures);
+    rest.slow = DifferenceOrZero(counts.slow, base.slow);
+    rest.timed = DifferenceOrZero(counts.timed, base.timed);
   }
   return difference;
 }
--- a/modules/qh_gateway/decisions/rollout/canary_analysis.h
+++ b/modules/qh_gateway/decisions/rollout/canary_analysis.h
@@ -30,7 +30,8 @@
   static constexpr Duration kRecent = std::chrono::seconds(2);
   // Time between two snapshots of the counts.
   static constexpr Duration kSnapshotInterval = std::chrono::milliseconds(200);
-  // Responses after the warm-up that a version needs to pass.
+  // Responses after the warm-up that a version needs to pass. With fewer, a
+  // moderate share of failures can't be told from chance.
   static constexpr uint64_t kMinSamples = 12;
   // Time after a warm-up in which a fault has to show before the version
   // passes.
@@ -39,14 +40,14 @@
   explicit CanaryAnalysis(Duration rollback_time)
       : warm_up_(rollback_time / kWarmUpDivisor) {}
 
-  // The sums of all nodes are `counts`.
+  // Takes the counts since the order, summed over all nodes.
   void Update(const VersionCounts& counts, TimePoint now);
   // All traffic moves to the new version from now on.
   void OnSwitch(TimePoint now);
 
   // Whether responses to requests sent now count as slow if they are.
   bool IsWarm(TimePoint now) const { return warm_at_ && now >= *warm_at_; }
-  // Returns why the version is bad, or nullopt if it isn't known to be.
+  // Returns why the version is bad, or nullopt while no fault is found.
   std::optional<std::string> FindFault() const;
   // Whether enough responses are known to call the version good, and none of
   // the comparisons raises a doubt.
@@ -60,12 +61,16 @@
     VersionCounts counts;
   };
 
-  // Returns a fault in the counts since `since`, at `sigmas` standard
-  // deviations and with at least `min_bad` bad responses.
+  // Returns a fault in `since`, the counts of a span of time: bad responses of
+  // the new version, at least `min_bad`, that exceed what the old version
+  // explains by `sigmas` standard deviations. Slow responses count as bad only
+  // if `with_slow`.
   std::optional<std::string> Compare(const VersionCounts& since,
                                      bool with_slow,
                                      double sigmas,
                                      uint64_t min_bad) const;
+  // Compares the counts of every span: since the order, since the warm-up, and
+  // of the recent time.
   std::optional<std::string> Find(double sigmas, uint64_t min_bad) const;
 
   Duration warm_up_;
--- a/modules/qh_gateway/decisions/rollout/exposure_budget.h
+++ b/modules/qh_gateway/decisions/rollout/exposure_budget.h
@@ -30,7 +30,7 @@
   // before is ignored. Nodes that started after the order don't call it: they
   // have no part, so that restarts don't add to the sum.
   void SetNodes(size_t nodes);
-  // A request is sent to the service for the first time.
+  // The first attempt of a request is sent to the service, at either version.
   void OnRequest() { ++requests_; }
   // An attempt is sent to the new version.
   void OnExposed() { ++exposed_; }
--- a/modules/qh_gateway/decisions/rollout/rollout_book.cpp
+++ b/modules/qh_gateway/decisions/rollout/rollout_book.cpp
@@ -5,7 +5,8 @@
 namespace qh {
 namespace {
 
-// A process that started this long before the order was there when it was made.
+// A process takes part in the tolerance if it started at least this long before
+// the order. Covers errors of the order's age as peers report it.
 constexpr Duration kStartSlack = std::chrono::seconds(1);
 
 bool IsFailure(AttemptOutcome outcome) {
@@ -108,8 +109,7 @@
     return;
   }
   for (const auto& [service, report] : reports) {
-    // A finished rollout says nothing to a node that doesn't know it, unless
-    // its new version must not be used.
+    // Such a report names no rollout.
     if (service.empty() || report.order.to.empty()) {
       continue;
     }
--- a/modules/qh_gateway/decisions/rollout/rollout_book.h
+++ b/modules/qh_gateway/decisions/rollout/rollout_book.h
@@ -24,7 +24,7 @@
 // Whether a server may take a request; empty if every one may.
 using ServerFilter = std::function<bool(const ServerRecord&)>;
 
-// An object of the rollouts' kind.
+// A rollout order in the store, with its status.
 struct StoredRollout {
   std::string name;
   uint64_t revision = 0;
@@ -41,7 +41,7 @@
   RolloutStatus status;
 };
 
-// An attempt of a request at a server, from TakeSend to OnEnded.
+// An attempt of a request at a server. Made by TakeSend, ends with OnEnded.
 struct RolloutAttempt {
   std::string service;
   std::string route;
@@ -75,8 +75,9 @@
   void OnList(const std::vector<StoredRollout>& objects, TimePoint now);
   void OnObject(const StoredRollout& object, TimePoint now);
   void OnRemoved(const std::string& name, TimePoint now);
-  // The reports of a peer. `source` is empty if its counts are reported by
-  // another one too; see ServiceRollout::PeerReport for the others.
+  // The reports of a peer. `source` is empty if another peer reports the same
+  // counts, which are then left out. The other parameters are those of
+  // ServiceRollout::PeerReport.
   void OnPeer(const std::string& source,
               bool covers_all,
               const std::string& incarnation,
@@ -87,7 +88,8 @@
   // A server became known; `listed` tells whether a list of all servers was
   // complete before.
   void OnServer(const ServerRecord& server, bool listed, TimePoint now);
-  // Evaluates all rollouts. `uptime` is the time since the process started.
+  // Evaluates all rollouts, see ServiceRollout::OnTick. `uptime` is the time
+  // since the process started.
   void OnTick(size_t known_nodes,
               bool may_decide,
               Duration uptime,
@@ -95,6 +97,7 @@
 
   // Returns the next status that the lease holder has to write.
   std::optional<RolloutWrite> NextWrite(TimePoint now) const;
+  // Returns this node's reports on all rollouts, for its peers.
   RolloutReports Report(TimePoint now) const;
   // Whether the service's rollout is under way, so that its servers are not to
   // be ordered or ended by others.
@@ -102,6 +105,7 @@
   const std::map<std::string, ServiceRollout>& rollouts() const {
     return rollouts_;
   }
+  // Returns the steps of all rollouts since the last call.
   std::vector<RolloutStep> TakeSteps();
 
   // A new request is about to be sent.
@@ -155,8 +159,9 @@
   // orders aren't known, the version is used whose servers are oldest.
   ServerFilter WithoutOrder(const std::string& service, TimePoint now) const;
   ServerFilter OldestVersion(const std::string& service) const;
-  // Tells a rollout which servers take requests.
+  // Tells a rollout how many servers of each version take requests.
   void UpdateServers(ServiceRollout& rollout);
+  // Returns a filter for the new servers that get the canary requests.
   ServerFilter CanaryFilter(const ServiceRollout& rollout) const;
   // Returns the servers of the order's version that take requests, in order of
   // their ids.
--- a/modules/qh_gateway/decisions/rollout/rollout_book_servers.cpp
+++ b/modules/qh_gateway/decisions/rollout/rollout_book_servers.cpp
@@ -55,7 +55,7 @@
 }
 
 ServerFilter RolloutBook::CanaryFilter(const ServiceRollout& rollout) const {
-  // The same servers all the time and at all nodes, so that they get warm.
+  // All nodes use the same servers throughout, so that these get warm.
   std::set<ServerId> chosen;
   for (const ServerRecord* server : NewServers(rollout.order())) {
     if (chosen.size() < rollout.canary_servers()) {
--- a/modules/qh_gateway/decisions/rollout/rollout_types.cpp
+++ b/modules/qh_gateway/decisions/rollout/rollout_types.cpp
@@ -5,7 +5,7 @@
 namespace qh {
 namespace {
 
-// Drops what may have changed since an old report.
+// Unless the report is `fresh`, drops what may have changed since.
 void DropGauges(RolloutReport& report, bool fresh) {
   if (!fresh) {
     report.nodes = 0;
--- a/modules/qh_gateway/decisions/rollout/rollout_types.h
+++ b/modules/qh_gateway/decisions/rollout/rollout_types.h
@@ -144,7 +144,8 @@
   VersionCounts& operator+=(const VersionCounts& more);
 };
 
-// What a node, or a relay for several, tells its peers of a rollout.
+// What a node, or a relay for several nodes, reports to its peers about a
+// rollout.
 struct RolloutReport {
   RolloutOrder order;
   RolloutPhase phase = RolloutPhase::kPending;
@@ -154,8 +155,9 @@
   // Whether the counts reach back to the order; not so at a process that found
   // the rollout begun and has heard nothing of the nodes that began it.
   bool complete = false;
-  // Nodes summed up, those of them that will send nothing more to servers of
-  // the old version and have no open request there, and open requests there.
+  // Number of nodes summed up; those of them that are drained, i.e. will send
+  // nothing more to old servers and have no open request there; and the open
+  // requests there.
   uint32_t nodes = 1;
   uint32_t drained_nodes = 0;
   uint64_t open_at_old = 0;
--- a/modules/qh_gateway/decisions/rollout/service_rollout.cpp
+++ b/modules/qh_gateway/decisions/rollout/service_rollout.cpp
@@ -20,8 +20,9 @@
 
 // Canary requests that may be due at once on one route.
 constexpr double kMaxCredit = 2;
-// Reserve of the budget over the requests expected until the deadline, from
-// which a node moves its traffic, and from which it gives up going back.
+// Multiple of the requests expected until the deadline that a node's budget has
+// to cover before the node moves its traffic (switch), and before it stops
+// using old servers (close). Closing can't be undone, so it needs more.
 constexpr double kSwitchReserve = 1.1;
 constexpr double kCloseReserve = 1.4;
 constexpr double kCloseReserveRequests = 2;
@@ -32,8 +33,9 @@
 // largest share of the requests for them at a service with few requests.
 constexpr double kSamplesPerSecond = 5;
 constexpr double kMaxCanaryShare = 0.06;
-constexpr const char* kByPeer = "by a peer's word";
-constexpr const char* kByStore = "as stored";
+// Reasons of steps that another node decided; that node's log has the cause.
+constexpr const char* kByPeer = "reported by a peer";
+constexpr const char* kByStore = "status in the store";
 
 }  // namespace
 
@@ -222,8 +224,7 @@
     const bool active =
         stored_ && stored_->state == StoredRolloutState::kActive;
     if (!complete_ && now - learned_at_ >= kHearsayTime) {
-      Apply(RolloutEvent::kBad, "what happened since the order is not known",
-            now);
+      Apply(RolloutEvent::kBad, "responses since the order are not known", now);
     }
     if (active && complete_ && new_servers_ > 0 && had_old_servers_) {
       Apply(RolloutEvent::kStarted, "active, servers of the version found",
--- a/modules/qh_gateway/decisions/rollout/service_rollout.h
+++ b/modules/qh_gateway/decisions/rollout/service_rollout.h
@@ -11,8 +11,8 @@
 // version bad rolls back, so that this needs no lease holder. Phases only
 // advance, and the later of two prevails.
 //
-// A node that has heard nothing of most of its peers for kFreshTime sends
-// nothing to the new version, because it would not learn of a verdict.
+// A node without reports from at least half of its peers within kFreshTime
+// sends nothing to the new version, because it would not learn of a rollback.
 
 #ifndef QH_GATEWAY_DECISIONS_ROLLOUT_SERVICE_ROLLOUT_H_
 #define QH_GATEWAY_DECISIONS_ROLLOUT_SERVICE_ROLLOUT_H_
@@ -62,15 +62,16 @@
   // Routes with few requests get up to this multiple, so that a fault of theirs
   // shows as well.
   static constexpr double kMaxRouteBoost = 5;
-  // Canary requests are sent in the first part of each such interval, so that
-  // their servers then carry the load of an old server.
+  // Canary requests are sent in the first part of each such interval, the
+  // pulse, so that their servers then carry the load of an old server. The
+  // pulse is at least kMinPulseShare of the interval.
   static constexpr Duration kPulseInterval = std::chrono::seconds(2);
   static constexpr double kMinPulseShare = 0.15;
   // Older reports don't count as information about the peers.
   static constexpr Duration kFreshTime = std::chrono::milliseconds(1'000);
-  // Time in which a process that found the rollout begun has to hear of nodes
-  // that know its counts; else the version is rolled back, as it may have had
-  // bad responses.
+  // Time in which a process that found the rollout under way has to receive a
+  // report whose counts reach back to the order. Otherwise the version is
+  // rolled back, because its bad responses until then are not known.
   static constexpr Duration kHearsayTime = std::chrono::seconds(3);
   // Time after the deadline in which the canary analysis may still pass.
   static constexpr Duration kDecisionGrace = std::chrono::seconds(2);
@@ -112,6 +113,7 @@
 
   // A new request on `route` is about to be sent.
   void OnRequest(const std::string& route, TimePoint now);
+  // Returns where a request on `route` may be sent now.
   RolloutTarget Target(const std::string& route, TimePoint now) const;
   // An attempt is to be sent to a server of the new or the old version; `first`
   // for a request's first one. Returns whether it may be, and counts it then.
@@ -122,11 +124,13 @@
   // Sets the attempts of this node that are open at servers of other versions,
   // also those sent before the order.
   void SetOpenAtOld(uint64_t open) { open_at_old_ = open; }
-  // A response, or its absence, was judged.
+  // Adds what a response, or an attempt that got none, counts for its version:
+  // the new one if `of_new`.
   void OnResponse(const std::string& route,
                   bool of_new,
                   const ResponseCounts& counts);
 
+  // Returns this node's report, for its peers.
   RolloutReport Report(TimePoint now) const;
   const RolloutOrder& order() const { return order_; }
   RolloutPhase phase() const { return phase_; }
@@ -160,10 +164,14 @@
   void Apply(RolloutEvent event, const std::string& reason, TimePoint now);
   // Share of the requests on `route` that goes to the new version.
   double ShareOf(const std::string& route) const;
+  // Whether canary requests are sent at this time of the pulse interval.
   bool InPulse(TimePoint now) const;
+  // Share of the pulse interval in which canary requests are sent.
   double PulseShare() const;
-  // Whether this node has heard lately of most of its peers.
+  // Whether this node has reports younger than kFreshTime from at least half of
+  // its peers, and its own last tick is as recent.
   bool IsFresh(TimePoint now) const;
+  // Peers with reports younger than kFreshTime.
   size_t NodesHeard(TimePoint now) const;
   bool IsDrained() const { return closed_to_old_ && open_at_old_ == 0; }
   // Whether no node will send anything more to old servers or has requests open
@@ -208,7 +216,8 @@
   // Recent states of the budget's request count, oldest first.
   std::deque<Requests> history_;
   bool had_old_servers_ = false;
-  // This node knows what happened since the order, itself or by a peer's word.
+  // This node knows the responses since the order, from its own counts or from
+  // a peer's report.
   bool complete_ = false;
   // This node sends to the new version what the budget allows.
   bool switched_ = false;
--- a/modules/qh_gateway/decisions/streams/event_gaps.h
+++ b/modules/qh_gateway/decisions/streams/event_gaps.h
@@ -1,5 +1,6 @@
-// Measures the longest time between two events of a stream, as its caller gets
-// them. A stream that has events in time but for one gap is late all the same.
+// Measures the longest time between two events of a stream, as they are passed
+// on to its caller. The longest one is compared with the route's event gap
+// target, because a single long gap makes a stream late.
 
 #ifndef QH_GATEWAY_DECISIONS_STREAMS_EVENT_GAPS_H_
 #define QH_GATEWAY_DECISIONS_STREAMS_EVENT_GAPS_H_
--- a/modules/qh_gateway/forwarding/exchange_waiting.cpp
+++ b/modules/qh_gateway/forwarding/exchange_waiting.cpp
@@ -8,10 +8,11 @@
 namespace qh {
 namespace {
 
-// Holding a request costs its caller nothing up to this part of its latency
-// target.
-constexpr int kFreeWaitParts = 8;
-// Time to the first event on an idle engine, without prefill.
+// A request may wait at least this part (1/8) of its latency target, also if
+// its answer is then expected late: so short a wait costs its caller nothing.
+constexpr int kMinWaitDivisor = 8;
+// Time to the first event on an idle engine, without prefill; the same as
+// kIdleEngineTtfbMs of engine_estimate.h.
 constexpr Duration kIdleEngineTtfb = std::chrono::milliseconds(30);
 
 Duration FromMilliseconds(double milliseconds) {
@@ -47,7 +48,7 @@
                    times.HoldPerSlot(service_->name, route_->latency_target));
   const Duration target = route_->latency_target;
   const Duration may_wait =
-      std::max<Duration>(target / kFreeWaitParts, target - to_answer);
+      std::max<Duration>(target / kMinWaitDivisor, target - to_answer);
   admission_ = {.route = route_->name,
                 .team = team_ == nullptr ? std::string() : team_->id.value(),
                 .route_priority = route_->priority,
--- a/modules/qh_gateway/forwarding/waiting_requests.cpp
+++ b/modules/qh_gateway/forwarding/waiting_requests.cpp
@@ -136,7 +136,8 @@
   Service& service = ServiceOf(name);
   const TimePoint now = MonotonicNow();
   bool progress = true;
-  // A request is started before it is found overdue or hopeless.
+  // Starts come before refusals, so that the next request is not refused as
+  // overdue while there is room for it.
   while (progress && service.starting < kMaxStarting) {
     progress = false;
     for (const WaitQueue::Id id : service.queue.Next(kMaxTried)) {
--- a/modules/qh_net/connection_limiter.cpp
+++ b/modules/qh_net/connection_limiter.cpp
@@ -5,8 +5,8 @@
 namespace qh {
 namespace {
 
-// Added to the time that bytes were held, so that large new holdings are not
-// counted as nothing.
+// Added to the time without progress, so that bytes that were received just now
+// count as well.
 constexpr Duration kNewHoldingAge = std::chrono::milliseconds(100);
 
 }  // namespace
@@ -120,6 +120,8 @@
 }
 
 std::pair<int, TimePoint> ConnectionSlot::Progress() const {
+  // The levels: 0 nothing answered yet, or closing; 1 idle after an answer; 2
+  // receiving a further request; 3 an answer is ready for the client.
   if (phase_ == ConnectionPhase::kClosing) {
     return {0, since_};
   }
@@ -127,8 +129,8 @@
     return {3, since_};
   }
   if (!served_) {
-    // Without regard to the phase: a client whose first bytes are on their way
-    // is newer than one that has stopped halfway.
+    // The phase doesn't count: otherwise clients that stop halfway through a
+    // request would be kept, and new ones without a byte yet closed for them.
     return {0, since_};
   }
   return {phase_ == ConnectionPhase::kIdle ? 1 : 2, since_};
--- a/modules/qh_net/connection_limiter.h
+++ b/modules/qh_net/connection_limiter.h
@@ -2,9 +2,10 @@
 // to close when there are too many or when they hold too much memory.
 //
 // Load pattern: very many clients that open connections, send a part of a
-// request or don't read their answers, and stay. Connections that have made the
-// least progress are closed first, and those that have held the most for the
-// longest; a connection whose request runs at a server is never closed.
+// request or don't read their answers, and stay open. When there are too many
+// connections, the one with the least progress is closed; when memory is short,
+// the one that has held the most for the longest. A connection whose request
+// runs at a server is never closed.
 
 #ifndef QH_NET_CONNECTION_LIMITER_H_
 #define QH_NET_CONNECTION_LIMITER_H_
@@ -52,7 +53,7 @@
   // Whether it was a new connection or request that was refused, rather than
   // one that was there before.
   bool refused = false;
-  // What it held, in bytes, and since when it had made no progress.
+  // Bytes that it held or asked for, and how long it had made no progress.
   uint64_t held = 0;
   Duration stalled{0};
 };
@@ -79,10 +80,11 @@
   // Whether one more connection may be opened; closes another one for it if
   // that is needed.
   bool MakeRoom(TimePoint now);
-  // Lets `held`, which belongs to `owner`, hold `bytes` in all. Closes
-  // connections that have held more for longer if that is needed. For a request
-  // that runs, `owner` is null, and any other connection that may be closed is.
-  // Returns false, with the count unchanged, if that isn't enough.
+  // Lets `held`, which belongs to `owner`, hold `bytes` in all. If memory is
+  // short, closes connections whose bytes times time without progress are more
+  // than the owner's. `owner` is null for a request that runs: then any
+  // connection that may be closed can be. Returns false, with the count
+  // unchanged, if that isn't enough.
   bool TryHold(HeldBytes& held,
                uint64_t bytes,
                const ConnectionSlot* owner,
@@ -108,7 +110,7 @@
   std::vector<ConnectionSlot*> slots_;
 };
 
-// The entry of one connection; ends with the connection.
+// The limiter's entry for one connection, owned by the connection.
 class ConnectionSlot {
  public:
   // Registers a new connection. `close` ends the connection at once and frees
--- a/tests/qh_gateway/rollout_simulation.cpp
+++ b/tests/qh_gateway/rollout_simulation.cpp
@@ -20,6 +20,8 @@
 constexpr size_t kMaxNodesWithoutRelays = 16;
 constexpr size_t kDomains = 3;
 constexpr const char* kService = "svc";
+// Bad responses after which a version must be rolled back in time, see
+// RolloutBounds::rollback_time.
 constexpr uint64_t kBadCount = 50;
 
 struct StoredOrder {
--- a/tests/qh_gateway/team_limit_simulation.h
+++ b/tests/qh_gateway/team_limit_simulation.h
@@ -23,7 +23,7 @@
 
 namespace qh::test {
 
-// What the team sends, and how its requests fare.
+// What the team sends, and how much of it is refunded.
 struct TeamLoad {
   double rate = 500'000;
   double burst = 1'000'000;
