--- a/modules/qh_gateway/control/peer_heartbeat.h
+++ b/modules/qh_gateway/control/peer_heartbeat.h
@@ -114,7 +114,8 @@
   // Versions at which the store's lists of servers and of nodes last changed.
   StoreVersion servers_changed;
   StoreVersion nodes_changed;
-  // The next six sum up the nodes of `scope`: requests in flight, by server.
+  // The fields from here on sum up the nodes of `scope`.
+  // Work outstanding at each server.
   OutstandingWorkByServer outstanding_work;
   // Units admitted against the limit of each team since the process started.
   TeamTotals team_totals;
@@ -127,7 +128,7 @@
   // Measured prefill rates of single servers.
   SpeedReports server_speeds;
 
-  // Rollouts that the sender knows, summed up over the nodes of `scope`.
+  // Rollouts that the sender knows.
   RolloutReports rollouts;
 
   // Returns the heartbeat as MessagePack.
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -57,6 +57,7 @@
  private:
   // No attempt is started with less time left than this.
   static constexpr Duration kMinAttemptTime = std::chrono::milliseconds(15);
+  // Retry-After of requests that are refused because no server can take them.
   static constexpr Duration kNoServerRetryAfter =
       std::chrono::milliseconds(400);
 
@@ -108,7 +109,9 @@
   // Waits for room after `error` if there can be some in time. Returns whether
   // it does.
   bool WaitForRoom(const Error& error, TimePoint now);
+  // Puts the request in the wait queue of its service.
   void Wait(TimePoint now);
+  // Whether admission decisions apply to the request, and it has not been sent.
   bool CanWait() const;
   // See PickQuery::hold_per_slot.
   std::optional<double> HoldPerSlot() const;
@@ -118,6 +121,7 @@
   double ServiceSlots() const;
   // The priority by which capacity is allocated, see UrgencyStep.
   int Urgency() const;
+  // The hooks of the wait queue, see WaitingRequests::Hooks.
   WaitingRequests::StartOutcome TryStartWaiting(TimePoint now);
   void OnWaitRefused(const WaitQueue::Refusal& refusal);
   // Returns a refusal for want of capacity with the time at which there is
