Only nodes that have seen a whole window write the deployment's record

Cause: a node that had just started wrote a record of what it assumed: a full bucket and the limit's rate since the record before it. Change: a node writes once it has run for a window; the leader writes beside the first node that follows the store.

--- a/modules/qh_gateway/control/deployment_record.cpp
+++ b/modules/qh_gateway/control/deployment_record.cpp
@@ -71,14 +71,14 @@
   if (stopped_ || call_open_ || now < no_call_before_) {
     return;
   }
-  // Once a window has passed, this node has seen all use that still counts.
-  const bool record_is_outdated =
-      now - started_at_ > state_.settings.limit_window;
-  if (!read_done_ && !record_is_outdated) {
+  // Within a window after its start a node still assumes use that it has not
+  // seen. A record of that would add up over several restarts.
+  const bool has_seen_window = now - started_at_ > state_.settings.limit_window;
+  if (!read_done_ && !has_seen_window) {
     Read();
     return;
   }
-  if (is_writer) {
+  if (is_writer && has_seen_window) {
     Write(now);
   }
 }
--- a/modules/qh_gateway/control/deployment_record.h
+++ b/modules/qh_gateway/control/deployment_record.h
@@ -31,8 +31,8 @@
 
   // Reads the record. To be called once, when the node starts.
   void Start();
-  // Writes the record when it is due, if this node `is_writer` and a team has a
-  // limit.
+  // Writes the record when it is due, if this node `is_writer`, a team has a
+  // limit, and the node has run for longer than the limits' window.
   void OnTick(TimePoint now, bool is_writer);
   // Drops the open call. Nothing is sent afterwards.
   void Stop();
--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -123,8 +123,9 @@
 
   // Whether this node follows the store and is answered.
   bool FollowsStore() const;
-  // Whether this node writes the deployment's record: the first of those that
-  // follow the store.
+  // Whether this node writes the deployment's record: the leader, and the first
+  // of the nodes that follow the store. Two writers do no harm, and one of them
+  // may have started too lately to write.
   bool WritesRecord(TimePoint now) const;
   // Checks the open watches of state whose confirmation is due.
   void CheckOpenWatches();
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -35,8 +35,9 @@
 }
 
 bool GatewayNode::WritesRecord(TimePoint now) const {
+  const bool is_first = peers_.nodes().FollowersBeforeSelf(now) == 0;
   return FollowsStore() && !state_.draining_since &&
-         peers_.nodes().FollowersBeforeSelf(now) == 0;
+         (is_first || state_.is_leader);
 }
 
 // The confirmation of one node serves all, so that the nodes that follow the
