Rollouts: two returns written apart

clang-tidy reported a leak of a std::function that is moved out of a conditional expression (a false positive); written as two statements it does not.

--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -125,7 +125,7 @@
   bool FollowsStore() const;
   // Whether this node writes the deployment's record: the leader, and the first
   // of the nodes that follow the store. Two writers do no harm, and one of them
-  // may have started too lately to write.
+  // may have started too recently to write.
   bool WritesRecord(TimePoint now) const;
   // Checks the open watches of state whose confirmation is due.
   void CheckOpenWatches();
--- a/modules/qh_gateway/decisions/rollout/rollout_book_servers.cpp
+++ b/modules/qh_gateway/decisions/rollout/rollout_book_servers.cpp
@@ -21,8 +21,10 @@
                                        [](const auto* a, const auto* b) {
                                          return a->started_ms < b->started_ms;
                                        });
-  return oldest == usable.end() ? ServerFilter()
-                                : OfVersion((*oldest)->version);
+  if (oldest == usable.end()) {
+    return {};
+  }
+  return OfVersion((*oldest)->version);
 }
 
 ServerFilter RolloutBook::WithoutOrder(const std::string& service,
@@ -34,7 +36,8 @@
   }
   const Versions& versions = found->second;
   if (!knows_orders_) {
-    return OldestVersion(service);
+    ServerFilter filter = OldestVersion(service);
+    return filter;
   }
   std::set<std::string> held;
   for (const auto& [version, at] : versions.appeared) {
