--- a/tests/qh_gateway/restarted_deployment_test.cpp
+++ b/tests/qh_gateway/restarted_deployment_test.cpp
@@ -49,7 +49,7 @@
     for (size_t i = 0; i < nodes; ++i) {
       TeamRateLimiter& node = nodes_.emplace_back(kAllowance, now_);
       node.SetPeers(peers, peers, now_);
-      node.SetTeams({kLimit}, now_);
+      node.SetTeams({limit_}, now_);
       if (with_record) {
         node.OnRecordedUse(history_, now_ - recorded_at_, now_);
       }
@@ -89,7 +89,9 @@
     const TimePoint end = now_ + length;
     for (; now_ < end; now_ += kStep) {
       due_ += rate * ToSeconds(kStep);
-      for (; due_ >= kUnits; due_ -= kUnits) {
+      const auto requests = static_cast<size_t>(due_ / kUnits);
+      due_ -= static_cast<double>(requests) * kUnits;
+      for (size_t i = 0; i < requests; ++i) {
         const bool admitted =
             !nodes[offered % nodes.size()]->Admit(kTeam, kUnits, now_);
         if (admitted) {
@@ -102,11 +104,11 @@
     return static_cast<double>(refused) / static_cast<double>(offered);
   }
 
-  const TeamRule kLimit{.id = kTeam, .rate = kRate, .burst = kBurst};
+  const TeamRule limit_{.id = kTeam, .rate = kRate, .burst = kBurst};
   TimePoint now_ = kStart;
   TeamRateLimiter before_ = [this] {
     TeamRateLimiter limiter(kAllowance, kStart);
-    limiter.SetTeams({kLimit}, kStart);
+    limiter.SetTeams({limit_}, kStart);
     return limiter;
   }();
   std::vector<TeamRateLimiter> nodes_;
