Capacity plan: an expected rise isn't remembered, spot servers are kept for 25 s

Change: only measured needs are remembered; reclaimable servers follow those of 25 s instead of 40 s.

--- a/modules/qh_gateway/decisions/capacity/capacity_planner.cpp
+++ b/modules/qh_gateway/decisions/capacity/capacity_planner.cpp
@@ -75,10 +75,12 @@
   if (demand.open_requests > 0 && !history.first_demand_at) {
     history.first_demand_at = now;
   }
-  Need need{.on_demand =
-                UpdatePeaks(history.peaks, needed, settings_.peak_window, now),
-            .spot = UpdatePeaks(history.spot_peaks, needed,
-                                settings_.spot_peak_window, now)};
+  // An expected rise isn't remembered: with few servers it is mostly noise.
+  Need need{
+      .on_demand = std::max(needed, UpdatePeaks(history.peaks, history.average,
+                                                settings_.peak_window, now)),
+      .spot = std::max(needed, UpdatePeaks(history.spot_peaks, history.average,
+                                           settings_.spot_peak_window, now))};
   const Duration observed = now - history.first_demand_at.value_or(now);
   if (observed <= settings_.demand_warmup) {
     need.on_demand = std::max(need.on_demand, history.found);
--- a/modules/qh_gateway/decisions/capacity/capacity_planner.h
+++ b/modules/qh_gateway/decisions/capacity/capacity_planner.h
@@ -62,7 +62,7 @@
     // The same for reclaimable servers. They cost little, and once given back
     // they may not be had again when the demand returns or a failure domain is
     // reclaimed.
-    Duration spot_peak_window = std::chrono::seconds(40);
+    Duration spot_peak_window = std::chrono::seconds(25);
     // The demand's rise is measured over this time. Orders cover what it adds
     // until servers that are ordered now have started.
     Duration trend_window = std::chrono::seconds(4);
