A record too old for the use of limits still tells the number of nodes

Cause: nodes that restart without a recent record divide what is left of a limit by 1,200; with the record's writer just restarted too, the record is older than the window and was ignored as a whole. Change: the number of nodes is used for a minute.

--- a/modules/qh_gateway/control/deployment_record.cpp
+++ b/modules/qh_gateway/control/deployment_record.cpp
@@ -24,6 +24,10 @@
 constexpr int kFirstNonSuccess = 300;
 constexpr int kNotFound = 404;
 
+// The number of nodes changes more slowly than the use of limits, and is used
+// for this long.
+constexpr Duration kNodesLifetime = std::chrono::minutes(1);
+
 // The clocks of the writer and of the reader may differ by this much.
 constexpr Duration kClockSlack = std::chrono::milliseconds(250);
 
@@ -127,7 +131,7 @@
   const TimePoint now = MonotonicNow();
   const Duration wall = state_.wall_clock.Now(now);
   const Duration ago = wall - milliseconds(json[kRecorded].get<int64_t>());
-  if (ago < -kClockSlack || ago > state_.settings.limit_window) {
+  if (ago < -kClockSlack || ago > kNodesLifetime) {
     return Error(ErrorKind::kPeerMalformed,
                  "deployment record was made " +
                      std::to_string(ToMilliseconds(ago)) + " ms ago");
