Recorded use of limits is spread evenly, and never counts for more than the assumption without a record

Change: the sum is spread over the window, as without a record, and a sum above that assumption is not used.

--- a/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
+++ b/modules/qh_gateway/decisions/limits/team_rate_limiter.cpp
@@ -124,17 +124,26 @@
   if (age >= allowance_.window || parts.empty()) {
     return;
   }
-  SlidingWindowSum used(allowance_.window);
+  double recorded = 0;
   const Duration part = allowance_.window / static_cast<int64_t>(parts.size());
   for (size_t i = 0; i < parts.size(); ++i) {
     const auto parts_after = static_cast<int64_t>(parts.size() - i) - 1;
-    used.AddAt(parts[i], now - age - parts_after * part, now);
+    const bool still_counts = age + parts_after * part < allowance_.window;
+    recorded += still_counts ? parts[i] : 0;
   }
   // The bucket may have been full when the record was made.
   const double granted =
       WindowGrant(account) * ToSeconds(age) / ToSeconds(allowance_.window);
-  used.Add(account.burst + granted + account.used_since_added, now);
-  account.used = used;
+  const double total =
+      recorded + account.burst + granted + account.used_since_added;
+  if (total >= account.used.Sum(now)) {
+    // The record leaves no more than the assumption that all was used.
+    return;
+  }
+  // Evenly, as that assumption: use that is put at one time would keep the
+  // limit shut until the whole window has passed.
+  account.used = SlidingWindowSum(allowance_.window);
+  account.used.AddEvenly(total, now);
   account.assumes_full_use = false;
   account.level =
       std::clamp(WindowHeadroom(account, now), 0.0, BucketCapacity(account)) *
