Deployment record: its time is checked before it is converted; a rollout constant's name

Cause: a huge time in a record that another writer made would overflow when it is converted. kHearsayTime named the lifetime of a peer's report of a rollout by a figure of speech. Change: a time out of range makes the record malformed, as in StoreEpochRecord; kPeerReportLifetime. Checked: compiled (syntax) and linted; the tests were not run again after it.

--- a/modules/qh_gateway/control/deployment_record.cpp
+++ b/modules/qh_gateway/control/deployment_record.cpp
@@ -31,6 +31,18 @@
 // The clocks of the writer and of the reader may differ by this much.
 constexpr Duration kClockSlack = std::chrono::milliseconds(250);
 
+// Returns when the record was made, as wall-clock time since 1970. Fails with
+// kPeerMalformed.
+Result<Duration> ReadRecorded(const Json& json) {
+  constexpr int64_t kMaxMs =
+      std::chrono::duration_cast<milliseconds>(Duration::max()).count();
+  if (!json.is_number_integer() || json.get<int64_t>() < 0 ||
+      json.get<int64_t>() > kMaxMs) {
+    return Error(ErrorKind::kPeerMalformed, "record has no possible time");
+  }
+  return Duration(milliseconds(json.get<int64_t>()));
+}
+
 // Returns the recorded number of nodes. Fails with kPeerMalformed.
 Result<size_t> ReadNodes(const Json& json) {
   if (!json.is_number_unsigned() || json.get<uint64_t>() == 0 ||
@@ -123,14 +135,14 @@
 Result<void> DeploymentRecord::TakeOver(const std::string& content) {
   const Json json = ParseBoundedJson(content);
   if (!json.is_object() || !json.contains(kRecorded) ||
-      !json[kRecorded].is_number_integer() || !json.contains(kUnits) ||
-      !json[kUnits].is_object()) {
+      !json.contains(kUnits) || !json[kUnits].is_object()) {
     return Error(ErrorKind::kPeerMalformed, "deployment record is malformed");
   }
+  BOOST_OUTCOME_TRY(recorded, ReadRecorded(json[kRecorded]));
   BOOST_OUTCOME_TRY(nodes, ReadNodes(json.value(kNodes, Json())));
   const TimePoint now = MonotonicNow();
   const Duration wall = state_.wall_clock.Now(now);
-  const Duration ago = wall - milliseconds(json[kRecorded].get<int64_t>());
+  const Duration ago = wall - recorded;
   if (ago < -kClockSlack || ago > kNodesLifetime) {
     return Error(ErrorKind::kPeerMalformed,
                  "deployment record was made " +
--- a/modules/qh_gateway/decisions/rollout/service_rollout.cpp
+++ b/modules/qh_gateway/decisions/rollout/service_rollout.cpp
@@ -223,7 +223,7 @@
   if (may_decide) {
     const bool active =
         stored_ && stored_->state == StoredRolloutState::kActive;
-    if (!complete_ && now - learned_at_ >= kHearsayTime) {
+    if (!complete_ && now - learned_at_ >= kPeerReportLifetime) {
       Apply(RolloutEvent::kBad, "responses since the order are not known", now);
     }
     if (active && complete_ && new_servers_ > 0 && had_old_servers_) {
--- a/modules/qh_gateway/decisions/rollout/service_rollout.h
+++ b/modules/qh_gateway/decisions/rollout/service_rollout.h
@@ -72,7 +72,7 @@
   // Time in which a process that found the rollout under way has to receive a
   // report whose counts reach back to the order. Otherwise the version is
   // rolled back, because its bad responses until then are not known.
-  static constexpr Duration kHearsayTime = std::chrono::seconds(3);
+  static constexpr Duration kPeerReportLifetime = std::chrono::seconds(3);
   // Time after the deadline in which the canary analysis may still pass.
   static constexpr Duration kDecisionGrace = std::chrono::seconds(2);
 
--- a/tests/qh_gateway/rollout_test.cpp
+++ b/tests/qh_gateway/rollout_test.cpp
@@ -364,7 +364,7 @@
   fixture.book.OnTick(1, true, seconds(60), kStart);
   CHECK(fixture.book.rollouts().at("svc").phase() == RolloutPhase::kPending);
   fixture.book.OnTick(1, true, seconds(60),
-                      kStart + ServiceRollout::kHearsayTime);
+                      kStart + ServiceRollout::kPeerReportLifetime);
   CHECK(fixture.book.rollouts().at("svc").phase() == RolloutPhase::kRolledBack);
 }
 
