Judge in one place whether an answer is whole; a stopped run never is

Cause: each place that ends an answer decided by itself. An orderly close during a migration counted as the stream's own end, as the probe then found the engine alive; the reply to the call that had stopped the run was ignored. The same happened for a 503, a 409, a 500 and no reply, in both orders. Ruled out: the destination, which had the copy and was never asked.

Change: JudgeAnswer (decisions/answers) is the one function that decides, from the end on the connection, the reply to the stop of the run, and the probe. Exchange only collects evidence. A run that was certainly stopped goes on at the destination, or at the source (503 with a handle, or a lost destination), while that still takes requests; one that may have been stopped is broken off or, on a resumable route, resumed. A stopped stream that its engine leaves open is closed after 100 ms. 404 after a stream that had ended stays whole. On the way: a reply or a probe that belongs to an earlier attempt is ignored (it ended or redirected the next one), a handle isn't sent with a later attempt, and a process that took the address of another proves nothing.

--- a/modules/qh_gateway/forwarding/crash_probe.cpp
+++ b/modules/qh_gateway/forwarding/crash_probe.cpp
@@ -41,13 +41,21 @@
   return record == nullptr || record->draining;
 }
 
+// Whether another process has registered under the server's id.
+bool WasReplaced(const GatewayState& state, const ServerProcess& process) {
+  const ServerRecord* record = state.directory.Find(process.id);
+  return record != nullptr && record->started_ms != process.started_ms;
+}
+
 ProbeResult OnProbed(GatewayState& state,
                      const InterruptedRun& run,
                      const ServerConnection& connection,
                      bool connected,
                      TimePoint interrupted) {
   if (connected) {
-    return ProbeResult::kAlive;
+    // Another process at the address says nothing about this one.
+    return WasReplaced(state, run.process) ? ProbeResult::kGone
+                                           : ProbeResult::kAlive;
   }
   const bool refused = connection.was_refused();
   if (IsLeaving(state, run.process)) {
--- a/modules/qh_gateway/forwarding/crash_probe.h
+++ b/modules/qh_gateway/forwarding/crash_probe.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 
+#include "qh_gateway/decisions/answers/answer_evidence.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 
 namespace qh {
@@ -22,26 +23,6 @@
   bool may_be_cause = true;
 };
 
-// What a probe found.
-enum class ProbeResult {
-  kAlive,
-  // Nothing listens any more, though the server has not said that it leaves.
-  kCrashed,
-  // Nothing listens any more at a server that was leaving. It ended in order or
-  // crashed.
-  kGone,
-  // The server could not be reached.
-  kUnknown,
-};
-
-template <>
-inline constexpr EnumName<ProbeResult> kEnumNames<ProbeResult>[] = {
-    {ProbeResult::kAlive, "alive"},
-    {ProbeResult::kCrashed, "crashed"},
-    {ProbeResult::kGone, "gone"},
-    {ProbeResult::kUnknown, "unreachable"},
-};
-
 // Probes the server of a broken connection by a new one. A server that can't be
 // reached is ejected. If it crashed, the crash is recorded for the request. A
 // server that is leaving is not probed.
--- a/modules/qh_gateway/forwarding/exchange.cpp
+++ b/modules/qh_gateway/forwarding/exchange.cpp
@@ -275,32 +275,55 @@
 }
 
 void Exchange::OnEnd(const Result<AnswerEnd>& result) {
-  const bool complete = result && !event_splitter_.has_partial();
-  if (destination_ && !complete) {
-    // The source ended the stream for the migration, or was lost before it.
-    ReleaseServer(AttemptOutcome::kAbandoned);
-    source_ended_ = true;
-    ContinueAtDestination();
-    return;
+  if (!result && result.error().kind() == ErrorKind::kMalformedAnswer) {
+    state_.metrics.Count({.name = "gateway_malformed_answers_total",
+                          .request_class = route_->name});
   }
-  destination_.reset();
+  stall_timer_.cancel();
+  evidence_.end = result ? result.value() : AnswerEnd::kCut;
+  evidence_.within_event = streaming_answer() && event_splitter_.has_partial();
   if (!result) {
-    if (result.error().kind() == ErrorKind::kMalformedAnswer) {
-      state_.metrics.Count({.name = "gateway_malformed_answers_total",
-                            .request_class = route_->name});
-    }
-    OnAttemptFailed(AttemptOutcome::kBroken, result.error().detail());
-    return;
+    end_reason_ = result.error().detail();
+  } else if (evidence_.within_event) {
+    end_reason_ = "stream ended within an event";
+  } else {
+    end_reason_ = "server closed the connection";
   }
-  if (streaming_answer() && event_splitter_.has_partial()) {
-    OnAttemptFailed(AttemptOutcome::kBroken, "stream ended within an event");
-    return;
+  ActOnEvidence();
+}
+
+void Exchange::ActOnEvidence() {
+  switch (JudgeAnswer(evidence_)) {
+    case AnswerVerdict::kOpen:
+    case AnswerVerdict::kAwaitStopReply:
+      return;
+    case AnswerVerdict::kProbe:
+      ProbeServer();
+      return;
+    case AnswerVerdict::kWhole:
+      OnWhole();
+      return;
+    case AnswerVerdict::kContinueAtDestination:
+      ContinueAtDestination();
+      return;
+    case AnswerVerdict::kContinueAtSource:
+      ContinueAtSource();
+      return;
+    case AnswerVerdict::kBroken:
+      OnBroken();
+      return;
   }
-  if (result.value() == AnswerEnd::kClosed) {
-    ConfirmEnd();
-    return;
+}
+
+void Exchange::OnBroken() {
+  std::string reason = end_reason_;
+  if (evidence_.stop != RunStop::kNotAsked) {
+    reason += ", stop of the run: " + std::string(ToName(evidence_.stop));
   }
-  OnComplete();
+  if (evidence_.probe) {
+    reason += ", and is " + std::string(ToName(*evidence_.probe));
+  }
+  OnAttemptFailed(AttemptOutcome::kBroken, reason);
 }
 
 InterruptedRun Exchange::CurrentRun() const {
@@ -311,23 +334,15 @@
           .may_be_cause = !sound_noted_};
 }
 
-void Exchange::ConfirmEnd() {
-  confirming_end_ = true;
-  stall_timer_.cancel();
+void Exchange::ProbeServer() {
   ProbeAfterOrderlyClose(
-      state_, CurrentRun(), [self = shared_from_this()](ProbeResult found) {
-        self->confirming_end_ = false;
-        if (self->finished_) {
-          return;
-        }
-        if (found == ProbeResult::kAlive) {
-          self->OnComplete();
-          return;
+      state_, CurrentRun(),
+      [self = shared_from_this(),
+       attempt = attempt_number_](ProbeResult found) {
+        if (!self->finished_ && attempt == self->attempt_number_) {
+          self->evidence_.probe = found;
+          self->ActOnEvidence();
         }
-        // An answer that ends early must not look complete.
-        self->OnAttemptFailed(AttemptOutcome::kBroken,
-                              "server closed the connection, and is " +
-                                  std::string(ToName(found)));
       });
 }
 
@@ -338,7 +353,7 @@
   }
 }
 
-void Exchange::OnComplete() {
+void Exchange::OnWhole() {
   if (time_to_first_byte_ && IsSuccess(answer_head_.status)) {
     NoteSound();
   }
--- a/modules/qh_gateway/forwarding/exchange.h
+++ b/modules/qh_gateway/forwarding/exchange.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 
+#include "qh_gateway/decisions/answers/answer_evidence.h"
 #include "qh_gateway/decisions/streams/event_gaps.h"
 #include "qh_gateway/decisions/streams/event_splitter.h"
 #include "qh_gateway/forwarding/crash_probe.h"
@@ -148,10 +149,27 @@
 
   // Migration of a running stream off a server that is about to be reclaimed.
   void OnServerLeaving(Duration leaves_in);
+  // Considers it after `delay`.
+  void ArmMigrationTimer(Duration delay);
   void ConsiderMigration(TimePoint leaves_at);
   void StartMigration(const ServerPick& destination);
-  void OnMigrationReply(const CallReply& reply);
+  // The reply of the server at `source`. `before` is what was known of the run
+  // before the call.
+  void OnMigrationReply(const Address& source,
+                        const CallReply& reply,
+                        RunStop before);
+  // The run was stopped, and the stream is still open.
+  void AwaitStoppedStreamEnd();
+  // Continue the run that its server has stopped: where its KV cache was copied
+  // to, or at that server itself.
   void ContinueAtDestination();
+  void ContinueAtSource();
+  void ContinueRun(const ServerPick& pick);
+  void OnContinuationReady(const ServerPick& pick,
+                           const ServerConnectionPtr& connection);
+  // Whether this node may still send a request to the current attempt's server,
+  // which leaves.
+  bool SourceTakesRequests(TimePoint now) const;
   // Upper bound on the events that the stream still has to send.
   uint64_t MaxEventsLeft() const;
 
@@ -165,11 +183,16 @@
   void OnHead(const HttpHead& head, const AnswerTraits& traits);
   void OnBody(const std::string& bytes);
   void OnEnd(const Result<AnswerEnd>& result);
-  // A complete answer is passed on.
-  void OnComplete();
+  // Acts on what the evidence says about the answer. Called whenever there is
+  // more of it.
+  void ActOnEvidence();
+  // A whole answer is passed on.
+  void OnWhole();
+  // The answer is broken off.
+  void OnBroken();
   // The server ended the answer by closing the connection: finds out whether it
-  // still lives before it passes the answer on as complete.
-  void ConfirmEnd();
+  // still lives.
+  void ProbeServer();
   // The server goes on after it began this answer.
   void NoteSound();
   // The current attempt, for ProbeAfterDisconnect.
@@ -275,8 +298,13 @@
   std::optional<Duration> time_to_first_byte_;
   // CrashTracker knows that the current attempt's server goes on.
   bool sound_noted_ = false;
-  // The answer has ended with its connection, and the server is probed.
-  bool confirming_end_ = false;
+  // How the current attempt's answer has ended, if it has.
+  AnswerEvidence evidence_;
+  // Why it is not whole, for the log.
+  std::string end_reason_;
+  // Rises with each attempt, and when one ends: replies that were meant for an
+  // earlier one are ignored.
+  uint64_t attempt_number_ = 0;
   // Servers that the request was sent to, or that were found unreachable or
   // leaving.
   std::set<ServerId> tried_servers_;
@@ -294,13 +322,18 @@
   // Whether the request counts in the team's usage; it is counted once.
   bool usage_counted_ = false;
 
-  // Server that the stream migrates to; set while a migration is in progress.
+  // Server that the stream migrates to, from the call to the source until the
+  // stream goes on.
   std::optional<ServerPick> destination_;
-  // Handle of the KV cache that was copied to the destination; empty for none.
+  // Handle of the stopped run's KV cache; empty for none.
   std::string migrated_kv_handle_;
-  bool migration_answered_ = false;
-  // The source has ended the stream during the migration.
-  bool source_ended_ = false;
+  // When the current attempt's server is reclaimed, and when this node learned
+  // that it leaves; nullopt without a notice.
+  struct Notice {
+    TimePoint leaves_at;
+    TimePoint received;
+  };
+  std::optional<Notice> notice_;
   boost::asio::steady_timer migration_timer_;
 
   // Head of the current attempt's answer, and the part of its body that is not
--- a/modules/qh_gateway/forwarding/exchange_attempts.cpp
+++ b/modules/qh_gateway/forwarding/exchange_attempts.cpp
@@ -183,6 +183,9 @@
   }
   rollout_attempt_ = std::move(rollout_attempt);
   permitted_server_.reset();
+  if (pick_ && pick_->server != pick.server) {
+    notice_.reset();
+  }
   pick_ = pick;
   process_ = {pick.server, server == nullptr ? 0 : server->started_ms};
   server_address_ = connection->address();
@@ -191,6 +194,8 @@
   time_to_first_byte_.reset();
   has_answer_head_ = false;
   sound_noted_ = false;
+  evidence_ = {};
+  ++attempt_number_;
   ++attempts_;
   tried_servers_.insert(pick.server);
   may_have_run_ = true;
--- a/modules/qh_gateway/forwarding/exchange_migration.cpp
+++ b/modules/qh_gateway/forwarding/exchange_migration.cpp
@@ -15,7 +15,11 @@
 constexpr auto kMigrationTimeout = std::chrono::milliseconds(800);
 // The answer to that call is a handle.
 constexpr ParserLimits kMigrationLimits = {.body_bytes = 64U << 10U};
-constexpr int kStatusOk = 200;
+// How long a stream stays open after its run was stopped, for events that are
+// still on their way.
+constexpr auto kStoppedStreamTimeout = std::chrono::milliseconds(100);
+// Pause before a run that went on at a leaving server is migrated again.
+constexpr auto kMigrationRetryInterval = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -24,15 +28,20 @@
       !service_->engine->supports_migration) {
     return;
   }
-  const TimePoint leaves_at = MonotonicNow() + leaves_in;
-  migration_timer_.expires_after(MigrationDelay(leaves_in));
-  migration_timer_.async_wait([weak = weak_from_this(), leaves_at](
-                                  const boost::system::error_code& error) {
-    const auto self = weak.lock();
-    if (!error && self != nullptr && !self->finished_) {
-      self->ConsiderMigration(leaves_at);
-    }
-  });
+  const TimePoint now = MonotonicNow();
+  notice_ = {.leaves_at = now + leaves_in, .received = now};
+  ArmMigrationTimer(MigrationDelay(leaves_in));
+}
+
+void Exchange::ArmMigrationTimer(Duration delay) {
+  migration_timer_.expires_after(delay);
+  migration_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self != nullptr && !self->finished_ && self->notice_) {
+          self->ConsiderMigration(self->notice_->leaves_at);
+        }
+      });
 }
 
 // Uses the caller's limit on the output, not its estimate, which may be far too
@@ -46,8 +55,13 @@
 
 void Exchange::ConsiderMigration(TimePoint leaves_at) {
   const TimePoint now = MonotonicNow();
+  if (connection_ != nullptr && forwarding_ && !time_to_first_byte_) {
+    // The run has not gone on yet.
+    ArmMigrationTimer(kMigrationRetryInterval);
+    return;
+  }
   if (connection_ == nullptr || !time_to_first_byte_ || !streaming_answer() ||
-      destination_ || confirming_end_ || !MaySend()) {
+      destination_ || evidence_.end != AnswerEnd::kOpen || !MaySend()) {
     return;
   }
   StreamProgress progress{
@@ -83,82 +97,128 @@
   }
   permitted_server_ = destination.server;
   destination_ = destination;
-  migration_answered_ = false;
-  source_ended_ = false;
+  const RunStop before = std::exchange(evidence_.stop, RunStop::kPending);
   const auto client = HttpClient::Create(state_.io, source->address,
                                          state_.byte_budget, kMigrationLimits);
   client->Send(
       state_.codec.write_migration(request_.id, destination_server->address),
       kMigrationTimeout,
-      [self = shared_from_this(), client,
+      [self = shared_from_this(), client, attempt = attempt_number_, before,
        source = source->address](const CallReply& reply) {
         client->Stop();
-        const auto run =
-            reply.outcome == HttpCallOutcome::kAnswered
-                ? self->state_.codec.read_migration_handle(source, reply.body)
-                : Result<std::string>(
-                      Error(ErrorKind::kServerTimeout,
-                            "source did not answer the migration call"));
-        self->migrated_kv_handle_ = run ? run.value() : std::string();
-        self->OnMigrationReply(reply);
+        if (!self->finished_ && attempt == self->attempt_number_) {
+          self->OnMigrationReply(source, reply, before);
+        }
       });
 }
 
-void Exchange::OnMigrationReply(const CallReply& reply) {
-  if (finished_ || !destination_) {
-    return;
+void Exchange::OnMigrationReply(const Address& source,
+                                const CallReply& reply,
+                                RunStop before) {
+  StopReply stop;
+  if (reply.outcome == HttpCallOutcome::kAnswered) {
+    const auto handle = state_.codec.read_migration_handle(source, reply.body);
+    stop = {.status = reply.status, .has_handle = bool(handle)};
+    migrated_kv_handle_ = handle ? handle.value() : std::string();
   }
-  migration_answered_ = true;
-  const bool copied =
-      reply.outcome == HttpCallOutcome::kAnswered && reply.status == kStatusOk;
+  evidence_.stop = ReadStopReply(stop, before);
   state_.log.Write(LogLine(ToName(GatewayEvent::kStreamMigrated))
                        .With("request", request_.id)
                        .With("server", pick_->server.value())
                        .With("to", destination_->server.value())
                        .With("status", reply.status)
+                       .With("run", ToName(evidence_.stop))
+                       .With("stream", ToName(evidence_.end))
                        .With("events", event_splitter_.events()),
                    GatewayEvent::kStreamMigrated);
-  if (!copied) {
-    migrated_kv_handle_.clear();
-  }
-  if (!copied && !source_ended_) {
-    // The source still runs the stream.
+  if (!IsStopped(evidence_.stop)) {
     destination_.reset();
-    return;
+    migrated_kv_handle_.clear();
+  } else if (evidence_.end == AnswerEnd::kOpen) {
+    AwaitStoppedStreamEnd();
   }
-  ContinueAtDestination();
+  ActOnEvidence();
+}
+
+void Exchange::AwaitStoppedStreamEnd() {
+  migration_timer_.expires_after(kStoppedStreamTimeout);
+  migration_timer_.async_wait(
+      [weak = weak_from_this(),
+       attempt = attempt_number_](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (error || self == nullptr || self->finished_ ||
+            attempt != self->attempt_number_ ||
+            self->evidence_.end != AnswerEnd::kOpen) {
+          return;
+        }
+        self->connection_->Close();
+        self->OnEnd(Error(ErrorKind::kServerTimeout,
+                          "the stopped stream was not closed"));
+      });
 }
 
-// Resumes the stream at the destination, once the source has both answered the
-// migration call and ended the stream.
 void Exchange::ContinueAtDestination() {
-  if (!migration_answered_ || !source_ended_) {
+  ContinueRun(*destination_);
+}
+
+void Exchange::ContinueAtSource() {
+  if (!SourceTakesRequests(MonotonicNow())) {
+    OnBroken();
     return;
   }
-  ServerPick destination = *std::exchange(destination_, std::nullopt);
-  // The KV cache was copied.
-  destination.prefill_tokens = 0;
-  const ServerRecord* server = state_.directory.Find(destination.server);
+  if (destination_) {
+    // It has no room, or the source does not reach it.
+    tried_servers_.insert(destination_->server);
+  }
+  ContinueRun(*pick_);
+  ArmMigrationTimer(kMigrationRetryInterval);
+}
+
+bool Exchange::SourceTakesRequests(TimePoint now) const {
+  return notice_ && now < notice_->leaves_at &&
+         now < notice_->received + state_.settings.server_drain;
+}
+
+void Exchange::ContinueRun(const ServerPick& pick) {
+  const ServerRecord* server = state_.directory.Find(pick.server);
   if (migrated_kv_handle_.empty() || server == nullptr) {
-    OnAttemptFailed(AttemptOutcome::kBroken,
-                    "server lost before the stream was migrated");
+    OnBroken();
     return;
   }
+  destination_.reset();
+  ++attempt_number_;
+  ReleaseServer(AttemptOutcome::kAbandoned);
   event_splitter_.Restart();
+  ServerPick cached = pick;
+  cached.prefill_tokens = 0;
   state_.connection_pool.Acquire(
       *server, true, MaxConnections(), MonotonicNow(),
       [self = shared_from_this(),
-       destination](const ServerConnectionPtr& connection) {
-        if (self->finished_) {
-          return;
-        }
-        if (connection == nullptr) {
-          self->OnAttemptFailed(AttemptOutcome::kBroken,
-                                "can't connect to the migration destination");
-          return;
-        }
-        self->SendAttempt(destination, connection);
+       cached](const ServerConnectionPtr& connection) {
+        self->OnContinuationReady(cached, connection);
       });
 }
 
+void Exchange::OnContinuationReady(const ServerPick& pick,
+                                   const ServerConnectionPtr& connection) {
+  if (finished_) {
+    if (connection != nullptr) {
+      state_.connection_pool.Release(connection, MonotonicNow());
+    }
+    return;
+  }
+  if (connection != nullptr) {
+    SendAttempt(pick, connection);
+    return;
+  }
+  if (pick.server == pick_->server) {
+    OnAttemptFailed(AttemptOutcome::kBroken,
+                    "can't connect to the server that stopped the run");
+    return;
+  }
+  OnUnreachable(pick);
+  // The handle was not used, and the source has the KV cache as well.
+  ContinueAtSource();
+}
+
 }  // namespace qh
--- a/modules/qh_gateway/forwarding/exchange_retries.cpp
+++ b/modules/qh_gateway/forwarding/exchange_retries.cpp
@@ -28,7 +28,8 @@
 }
 
 void Exchange::OnStall() {
-  if (connection_ == nullptr || confirming_end_ || !MayRetry()) {
+  const bool has_ended = evidence_.end != AnswerEnd::kOpen;
+  if (connection_ == nullptr || has_ended || !MayRetry()) {
     return;
   }
   const TimePoint now = MonotonicNow();
@@ -58,6 +59,7 @@
         self->connecting_replacement_ = false;
         const bool still_stalled =
             !self->finished_ && self->connection_ == stalled &&
+            self->evidence_.end == AnswerEnd::kOpen &&
             self->time_to_first_byte_.has_value() == began &&
             self->event_splitter_.events() == events;
         self->OnReplacementReady(pick, connection, still_stalled);
@@ -110,7 +112,9 @@
 
 void Exchange::EndAttempt(AttemptOutcome outcome, const std::string& reason) {
   const TimePoint now = MonotonicNow();
+  ++attempt_number_;
   destination_.reset();
+  migrated_kv_handle_.clear();
   state_.log.Write(LogLine(ToName(GatewayEvent::kAttemptFailed))
                        .With("request", request_.id)
                        .With("server", pick_->server.value())
--- a/modules/qh_gateway/forwarding/server_connection.h
+++ b/modules/qh_gateway/forwarding/server_connection.h
@@ -13,21 +13,13 @@
 #include <memory>
 #include <string>
 
+#include "qh_gateway/decisions/answers/answer_evidence.h"
 #include "qh_gateway/model/wire_codec.h"
 #include "qh_net/http_parser.h"
 #include "qh_net/socket_options.h"
 
 namespace qh {
 
-// What marked the end of a complete answer.
-enum class AnswerEnd {
-  // Its length, or its last chunk.
-  kFramed,
-  // The server closed the connection in order. A server that crashes may do so
-  // as well.
-  kClosed,
-};
-
 // Keeps itself alive through its pending operations. Runs on the thread of the
 // io_context.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -38,7 +30,8 @@
     std::function<void(const HttpHead&, const AnswerTraits&)> on_head;
     // The next part of the decoded body.
     std::function<void(std::string)> on_body;
-    // The answer is complete, or the error for which it is not.
+    // How the answer has ended on the connection, kFramed or kClosed, or the
+    // error for which it is cut.
     std::function<void(Result<AnswerEnd>)> on_end;
   };
 
--- a/modules/qh_gateway/qh_gateway.h
+++ b/modules/qh_gateway/qh_gateway.h
@@ -43,6 +43,7 @@
 #include "qh_gateway/decisions/admission/server_urgency.h"
 #include "qh_gateway/decisions/admission/service_times.h"
 #include "qh_gateway/decisions/admission/wait_queue.h"
+#include "qh_gateway/decisions/answers/answer_evidence.h"
 #include "qh_gateway/decisions/capacity/capacity_planner.h"
 #include "qh_gateway/decisions/crash/crash_tracker.h"
 #include "qh_gateway/decisions/crash/crash_verdicts.h"
