A reset never completes an answer, also while a write is pending

Cause: the system reports a connection's error once. The pending write takes it, and the read that follows looks like an orderly end. ServerConnection took the read's word, and the probe found the server alive. HttpClient (store, cloud, peers, moves) counted any error as the end of an answer without a length, and a failed write as the end of the call, though an answer may be waiting. Ruled out: the caller's connection, where the difference only names the reason in the log and in a metric.

Change: ConnectionEnd is told of failed writes and says whether a read's end was orderly; both clients ask it. HttpClient leaves the decision to the pending read, and does not reuse a connection on which it still writes: the rest of an answered call's body went out on the connection of the next one, since the pending write held on to the socket object. Each connection has its own now.

An early 413 with a length and an early 200 that ends in order are delivered as before.

--- a/modules/qh_gateway/forwarding/server_connection.cpp
+++ b/modules/qh_gateway/forwarding/server_connection.cpp
@@ -95,6 +95,7 @@
           // The server may have answered before it closed; the pending read
           // decides how the request ends.
           self->must_close_ = true;
+          self->connection_end_.OnWriteFailed(error);
           return;
         }
         self->request_written_ = true;
@@ -241,15 +242,17 @@
     return;
   }
   // Only an orderly close (FIN) can end an answer that has no length.
-  const bool orderly = error == boost::asio::error::eof;
+  const bool orderly = connection_end_.IsOrderly(error);
   if (orderly && head_delivered_ && parser_.head_done() && parser_.FeedEnd()) {
     must_close_ = true;
     CompleteRequest(AnswerEnd::kClosed);
     return;
   }
-  CompleteRequest(Error(ErrorKind::kServerFailed,
-                        head_delivered_ ? "answer cut: " + error.message()
-                                        : "no answer: " + error.message()));
+  const std::string how = orderly ? "closed by the server"
+                                  : "connection broken: " + error.message();
+  CompleteRequest(
+      Error(ErrorKind::kServerFailed,
+            (head_delivered_ ? "answer cut, " : "no answer, ") + how));
 }
 
 void ServerConnection::CompleteRequest(Result<AnswerEnd> result) {
--- a/modules/qh_gateway/forwarding/server_connection.h
+++ b/modules/qh_gateway/forwarding/server_connection.h
@@ -15,6 +15,7 @@
 
 #include "qh_gateway/decisions/answers/answer_evidence.h"
 #include "qh_gateway/model/wire_codec.h"
+#include "qh_net/connection_end.h"
 #include "qh_net/http_parser.h"
 #include "qh_net/socket_options.h"
 
@@ -116,6 +117,7 @@
   bool request_written_ = false;
   bool read_paused_ = false;
   bool read_pending_ = false;
+  ConnectionEnd connection_end_;
   // The connection can't be reused after the current request.
   bool must_close_ = false;
   std::optional<Duration> idle_timeout_;
--- a/modules/qh_net/http_client.cpp
+++ b/modules/qh_net/http_client.cpp
@@ -40,7 +40,7 @@
                        const ParserLimits& limits)
     : io_(io),
       address_(std::move(address)),
-      socket_(io),
+      link_(std::make_shared<Link>(io)),
       timer_(io),
       limits_(limits),
       parser_(MessageKind::kAnswer, limits),
@@ -63,9 +63,11 @@
 void HttpClient::CloseSocket() {
   ++generation_;
   connected_ = false;
+  write_pending_ = false;
+  connection_end_ = {};
   boost::system::error_code ignored;
-  socket_.close(ignored);
-  socket_ = TcpSocket(io_);
+  link_->socket.close(ignored);
+  link_ = std::make_shared<Link>(io_);
   parser_ = HttpParser(MessageKind::kAnswer, limits_);
   held_.Set(0);
 }
@@ -108,7 +110,7 @@
     Finish({.outcome = HttpCallOutcome::kNotSent});
     return;
   }
-  socket_.async_connect(
+  link_->socket.async_connect(
       endpoint.value(), [self = shared_from_this(), connection = generation_,
                          timeout](const boost::system::error_code& error) {
         if (connection != self->generation_) {
@@ -119,7 +121,7 @@
           return;
         }
         self->connected_ = true;
-        TuneSocket(self->socket_);
+        TuneSocket(self->link_->socket);
         self->ArmTimer(timeout);
         self->Write();
         self->Read();
@@ -128,20 +130,29 @@
 
 void HttpClient::Write() {
   sent_ = true;
+  write_pending_ = true;
+  link_->out = std::move(out_);
   boost::asio::async_write(
-      socket_, boost::asio::buffer(out_),
-      [self = shared_from_this(), connection = generation_](
+      link_->socket, boost::asio::buffer(link_->out),
+      [self = shared_from_this(), link = link_, connection = generation_](
           const boost::system::error_code& error, size_t /*size*/) {
-        if (connection == self->generation_ && error) {
-          self->OnConnectionEnd();
+        if (connection != self->generation_) {
+          return;
+        }
+        if (error) {
+          // The peer may have answered before it ended the connection; the
+          // pending read decides how the call ends.
+          self->connection_end_.OnWriteFailed(error);
+          return;
         }
+        self->write_pending_ = false;
       });
 }
 
 // A read is pending at all times, so that the client notices when the peer
 // closes an idle connection.
 void HttpClient::Read() {
-  socket_.async_read_some(
+  link_->socket.async_read_some(
       boost::asio::buffer(in_),
       [self = shared_from_this(), connection = generation_](
           const boost::system::error_code& error, size_t size) {
@@ -149,7 +160,7 @@
           return;
         }
         if (error) {
-          self->OnConnectionEnd();
+          self->OnConnectionEnd(self->connection_end_.IsOrderly(error));
           return;
         }
         self->OnBytes(size);
@@ -160,7 +171,7 @@
   const uint64_t connection = generation_;
   const bool expected = busy_ && sent_;
   if (!expected) {
-    OnConnectionEnd();
+    OnConnectionEnd(false);
     return;
   }
   if (const auto parsed = parser_.Feed({in_.data(), size}); !parsed) {
@@ -179,8 +190,8 @@
                     .body = parser_.TakeBody(),
                     .fields = parser_.head().fields};
     held_.Set(0);
-    const bool keep =
-        parser_.keep_alive() && !parser_.has_surplus() && bool(parser_.Next());
+    const bool keep = !write_pending_ && parser_.keep_alive() &&
+                      !parser_.has_surplus() && bool(parser_.Next());
     if (!keep) {
       CloseSocket();
     }
@@ -201,8 +212,10 @@
   Finish({.outcome = HttpCallOutcome::kNoAnswer});
 }
 
-void HttpClient::OnConnectionEnd() {
-  const bool complete = bool(parser_.FeedEnd()) && parser_.head_done();
+void HttpClient::OnConnectionEnd(bool orderly) {
+  // Only an orderly end completes an answer that has no length.
+  const bool complete =
+      orderly && bool(parser_.FeedEnd()) && parser_.head_done();
   const int status = complete ? parser_.head().status : 0;
   std::string body = complete ? parser_.TakeBody() : std::string();
   std::vector<HttpField> fields =
--- a/modules/qh_net/http_client.h
+++ b/modules/qh_net/http_client.h
@@ -19,6 +19,7 @@
 
 #include "qh_core/time/time.h"
 #include "qh_net/byte_budget.h"
+#include "qh_net/connection_end.h"
 #include "qh_net/http_parser.h"
 #include "qh_net/socket_options.h"
 
@@ -92,6 +93,14 @@
     Hook on_reply;
   };
 
+  // One connection. A write that was begun goes on until it notices that its
+  // socket was closed, so neither its socket nor its bytes are used again.
+  struct Link {
+    explicit Link(boost::asio::io_context& io) : socket(io) {}
+    TcpSocket socket;
+    std::string out;
+  };
+
   HttpClient(boost::asio::io_context& io,
              Address address,
              std::shared_ptr<ByteBudget> budget,
@@ -104,13 +113,15 @@
   void OnBytes(size_t size);
   // Logs an answer that was not taken, and ends the connection.
   void RefuseAnswer(const Error& error);
-  void OnConnectionEnd();
+  // `orderly` is whether the peer ended the connection in order.
+  void OnConnectionEnd(bool orderly);
   void Finish(CallReply reply);
   void CloseSocket();
 
   boost::asio::io_context& io_;
   Address address_;
-  TcpSocket socket_;
+  // Never null.
+  std::shared_ptr<Link> link_;
   boost::asio::steady_timer timer_;
   ParserLimits limits_;
   HttpParser parser_;
@@ -122,9 +133,13 @@
   bool connected_ = false;
   // Whether part of the current call may have been sent.
   bool sent_ = false;
+  // Part of a call's bytes is not written yet.
+  bool write_pending_ = false;
+  ConnectionEnd connection_end_;
   // Rises each time the socket is closed; completions that were started for an
   // earlier connection are ignored.
   uint64_t generation_ = 0;
+  // The bytes of the current call until they are written.
   std::string out_;
   std::array<char, 16U << 10U> in_{};
 };
--- a/modules/qh_net/qh_net.h
+++ b/modules/qh_net/qh_net.h
@@ -11,6 +11,7 @@
 
 // clang-format off
 #include "qh_net/byte_budget.h"
+#include "qh_net/connection_end.h"
 #include "qh_net/http_head.h"
 #include "qh_net/http_parser.h"
 #include "qh_net/idle_connection.h"
--- /dev/null
+++ b/tests/qh_gateway/early_answer_test.cpp
@@ -0,0 +1,102 @@
+// Answers that come before their request is sent, with statuses that are none,
+// or that stop within their head.
+
+#include <catch2/catch.hpp>
+
+#include "qh_gateway/forwarding/answer_serialization.h"
+#include "tests/fakes/abrupt_server.h"
+#include "tests/qh_gateway/gateway_fixture.h"
+
+namespace qh {
+namespace {
+
+using End = AbruptServer::End;
+using std::chrono::milliseconds;
+
+constexpr size_t kUploadBytes = size_t{3} << 20U;
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+const std::string kNoLength =
+    "HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: stamp\r\n\r\nbody";
+const std::string kStreamNoLength =
+    "HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\nServer-Stamp: stamp\r\n"
+    "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n";
+
+class EarlyAnswer : public GatewayFixture {
+ public:
+  AbruptServer& AddAbrupt(const std::string& id,
+                          const std::string& service,
+                          AbruptServer::Script script) {
+    servers_.push_back(std::make_unique<AbruptServer>(io, std::move(script)));
+    ServerRecord record;
+    record.id = ServerId(id);
+    record.service = service;
+    record.address = servers_.back()->address();
+    record.slots = 4;
+    state.directory.OnServer(record, MonotonicNow());
+    return *servers_.back();
+  }
+
+  // Sends a long upload, and waits until its answer has ended.
+  ScriptedCaller& Upload(const std::string& path) {
+    ScriptedCaller& caller = AddCaller();
+    caller.SendInBackground("POST " + path +
+                            " HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\n" +
+                            "Content-Length: " + std::to_string(kUploadBytes) +
+                            "\r\n\r\n" + std::string(kUploadBytes, 'u'));
+    REQUIRE(RunUntil([&] { return state.open_requests == 1; }));
+    REQUIRE(RunUntil([&] { return state.open_requests == 0; }));
+    RunFor(milliseconds(20));
+    return caller;
+  }
+
+ private:
+  std::vector<std::unique_ptr<AbruptServer>> servers_;
+};
+
+}  // namespace
+
+// Guards against the report of another operator (issue 60): a part of a 200
+// without a length passed for the whole, as the write of the upload took the
+// reset's error, and the read then looked like an orderly close.
+TEST_CASE_METHOD(EarlyAnswer, "a reset during an upload completes no answer") {
+  const bool stream = GENERATE(false, true);
+  CAPTURE(stream);
+  AddAbrupt("a", stream ? "chat" : "plain", [&](size_t) {
+    return AbruptServer::Answer{stream ? kStreamNoLength : kNoLength,
+                                End::kReset};
+  });
+  ScriptedCaller& caller = Upload(stream ? "/stream/x" : "/unsafe/x");
+  CHECK_FALSE(Has(caller.received(), EncodeLastChunk(1)));
+  if (stream) {
+    CHECK(Has(caller.received(), "id: 1\n"));
+    CHECK(caller.closed());
+  } else {
+    CHECK(Has(caller.received(), "HTTP/1.1 502 "));
+    CHECK_FALSE(Has(caller.received(), "stamp"));
+  }
+}
+
+TEST_CASE_METHOD(EarlyAnswer, "an early answer that ended is delivered") {
+  SECTION("without a length, in order, while its server reads no more") {
+    AddAbrupt("a", "plain", [](size_t) {
+      return AbruptServer::Answer{kNoLength, End::kClose};
+    });
+    const std::string& answer = Upload("/unsafe/x").received();
+    CHECK(Has(answer, "HTTP/1.1 200 "));
+    CHECK(Has(answer, "body"));
+  }
+  SECTION("with a length, before a reset") {
+    AddAbrupt("a", "plain", [](size_t) {
+      return AbruptServer::Answer{StampedAnswer(413, "large"), End::kReset};
+    });
+    const std::string& answer = Upload("/unsafe/x").received();
+    CHECK(Has(answer, "HTTP/1.1 413 "));
+    CHECK(Has(answer, "large"));
+  }
+}
+
+}  // namespace qh
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -268,6 +268,13 @@
   boost::asio::write(socket_, boost::asio::buffer(bytes));
 }
 
+void ScriptedCaller::SendInBackground(std::string bytes) {
+  const auto held = std::make_shared<std::string>(std::move(bytes));
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(*held),
+      [held](const boost::system::error_code& /*error*/, size_t /*size*/) {});
+}
+
 void ScriptedCaller::Disconnect() {
   boost::system::error_code ignored;
   socket_.close(ignored);
--- a/tests/qh_gateway/gateway_fixture.h
+++ b/tests/qh_gateway/gateway_fixture.h
@@ -107,6 +107,8 @@
   ScriptedCaller(boost::asio::io_context& io, const Address& gateway);
 
   void Send(const std::string& bytes);
+  // Sends more than the peer's buffers may take, while the io_context runs.
+  void SendInBackground(std::string bytes);
   // Closes the connection.
   void Disconnect();
   // All bytes received so far.
