A status that is none is no answer, and interim answers are skipped

Calls to the store, the cloud and peers took 100, 103 and 000 for the answer.

Cause: ServerConnection took every status below 200 for an interim answer, and HttpClient none. RFC 9110 (section 15) calls values outside 100 to 599 invalid and asks clients to treat them as a server error.

Change: the parser refuses an answer with such a status, and 101, as no request asks to switch protocols. The attempt is broken at once: a safe request goes to another server, others are answered 502. Both clients share IsInterimStatus, and HttpClient skips interim answers.

--- a/modules/qh_gateway/forwarding/server_connection.cpp
+++ b/modules/qh_gateway/forwarding/server_connection.cpp
@@ -7,7 +7,6 @@
 
 constexpr ParserLimits kAnswerLimits = {.header_bytes = 32U << 10U,
                                         .body_bytes = 256U << 20U};
-constexpr int kFirstFinalStatus = 200;
 // Most bytes of interim answers and of answers to earlier requests that are
 // skipped for one request.
 constexpr size_t kMaxSkippedBytes = size_t{4} << 20U;
@@ -199,7 +198,7 @@
 
 bool ServerConnection::OnHead() {
   const HttpHead& head = parser_.head();
-  if (head.status < kFirstFinalStatus) {
+  if (IsInterimStatus(head.status)) {
     skipping_answer_ = true;
     return true;
   }
--- a/modules/qh_net/http_client.cpp
+++ b/modules/qh_net/http_client.cpp
@@ -174,7 +174,11 @@
     OnConnectionEnd(false);
     return;
   }
-  if (const auto parsed = parser_.Feed({in_.data(), size}); !parsed) {
+  auto parsed = parser_.Feed({in_.data(), size});
+  while (parsed && parser_.done() && IsInterimStatus(parser_.head().status)) {
+    parsed = parser_.Next();
+  }
+  if (!parsed) {
     RefuseAnswer(parsed.error());
     return;
   }
--- a/modules/qh_net/http_head.cpp
+++ b/modules/qh_net/http_head.cpp
@@ -21,8 +21,23 @@
   return text;
 }
 
+// RFC 9110, section 15: other values are invalid.
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kSwitchingProtocols = 101;
+
 }  // namespace
 
+bool IsUsableStatus(int status) {
+  return status >= kFirstStatus && status <= kLastStatus &&
+         status != kSwitchingProtocols;
+}
+
+bool IsInterimStatus(int status) {
+  return status >= kFirstStatus && status < kFirstFinalStatus;
+}
+
 size_t MemoryOf(const std::string& text) {
   static const size_t capacity_without_allocation = std::string().capacity();
   return text.capacity() > capacity_without_allocation ? text.capacity() + 1
--- a/modules/qh_net/http_head.h
+++ b/modules/qh_net/http_head.h
@@ -55,6 +55,14 @@
   std::vector<std::string> SortedTokens(std::string_view name) const;
 };
 
+// Returns whether `status` can be the status of an answer to a request of this
+// system: 100 to 599, but for 101, as no request asks to switch protocols.
+bool IsUsableStatus(int status);
+
+// Returns whether an answer with `status` is an interim one (1xx), which the
+// final answer follows.
+bool IsInterimStatus(int status);
+
 // Return the memory that a string has allocated, and that fields take, in
 // bytes. A string that fits into its object has allocated nothing.
 size_t MemoryOf(const std::string& text);
--- a/modules/qh_net/http_parser.cpp
+++ b/modules/qh_net/http_parser.cpp
@@ -62,7 +62,10 @@
   void on_response_impl(int code,
                         beast::string_view reason,
                         int version,
-                        BeastError& /*error*/) override {
+                        BeastError& error) override {
+    if (!IsUsableStatus(code)) {
+      error = http::error::bad_status;
+    }
     head.status = code;
     head.reason = std::string(reason);
     head.minor_version = version % 10;
--- a/modules/qh_net/http_parser.h
+++ b/modules/qh_net/http_parser.h
@@ -42,7 +42,8 @@
   void SetLimits(const ParserLimits& limits);
 
   // Parses bytes received from the connection, up to the end of the current
-  // message. Fails with kHeadersTooLarge, kBodyTooLarge or kMalformedRequest;
+  // message. Fails with kHeadersTooLarge, kBodyTooLarge or kMalformedRequest,
+  // also for an answer whose status is not usable (see IsUsableStatus);
   // after a failure the connection can't be used any more, and the parser holds
   // nothing.
   Result<void> Feed(std::string_view bytes);
--- a/tests/qh_gateway/early_answer_test.cpp
+++ b/tests/qh_gateway/early_answer_test.cpp
@@ -99,4 +99,82 @@
   }
 }
 
+// Guards against the report of another operator (issue 60): a status that is
+// none was handed on, or waited on until the deadline as if it were an interim
+// answer.
+TEST_CASE_METHOD(EarlyAnswer, "a status outside 100 to 599 is no answer") {
+  const std::string status = GENERATE("000", "001", "099", "600", "999", "101");
+  const std::string framing =
+      GENERATE("Content-Length: 4\r\n\r\nbody", "\r\nbody",
+               "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+               "Content-Length: 0\r\n\r\n");
+  const std::string path = GENERATE("/unsafe/x", "/safe/x", "/stream/x");
+  CAPTURE(status, framing, path);
+  const std::string service = path == "/stream/x" ? "chat" : "plain";
+  const std::string odd = "HTTP/1.1 " + status +
+                          " Odd\r\nRequest-Id: %ID%\r\n" +
+                          "Server-Stamp: stamp\r\n" + framing;
+  size_t sent = 0;
+  for (const char* id : {"a", "b"}) {
+    AddAbrupt(id, service, [&](size_t) {
+      return AbruptServer::Answer{sent++ == 0 ? odd
+                                              : StampedAnswer(200, "good")};
+    });
+  }
+  const TimePoint start = MonotonicNow();
+  ScriptedCaller& caller =
+      SendRequest("POST", path, "r1", "Content-Length: 0\r\n");
+  REQUIRE(RunUntil([&] { return Has(caller.received(), "\r\n\r\n"); }));
+  CHECK(MonotonicNow() - start < milliseconds(100));
+  CHECK(Has(caller.received(),
+            path == "/safe/x" ? "HTTP/1.1 200 " : "HTTP/1.1 502 "));
+  CHECK_FALSE(Has(caller.received(), "Odd"));
+  CHECK(sent == (path == "/safe/x" ? 2 : 1));
+}
+
+TEST_CASE_METHOD(EarlyAnswer, "interim answers are skipped") {
+  const std::string interim =
+      GENERATE("HTTP/1.1 100 Continue\r\n\r\n",
+               "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
+               "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Wait\r\n\r\n");
+  AddAbrupt("a", "plain", [&](size_t) {
+    return AbruptServer::Answer{interim + StampedAnswer(200, "body")};
+  });
+  ScriptedCaller& caller = SendRequest("GET", "/safe/x");
+  REQUIRE(RunUntil([&] { return Has(caller.received(), "body"); }));
+  CHECK(Has(caller.received(), "HTTP/1.1 200 "));
+}
+
+// Guards against the report of another operator (issue 60): an answer whose
+// server stopped within the head reached the caller as a 200 with an empty or a
+// short body.
+TEST_CASE_METHOD(EarlyAnswer, "a head cut anywhere answers nothing") {
+  const std::string interim = "HTTP/1.1 103 Early\r\nLink: </x>\r\n\r\n";
+  const std::string head = GENERATE_COPY(
+      std::string("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\n"
+                  "Server-Stamp: stamp\r\nContent-Length: 4\r\n\r\n"),
+      std::string("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\n"
+                  "Server-Stamp: stamp\r\n\r\n"),
+      std::string("HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\n"
+                  "Server-Stamp: stamp\r\nTransfer-Encoding: chunked\r\n\r\n"),
+      interim + "HTTP/1.1 200 OK\r\nRequest-Id: %ID%\r\n\r\n");
+  const std::string path = GENERATE("/unsafe/x", "/stream/x", "/safe/x");
+  const End end = GENERATE(End::kClose, End::kReset);
+  CAPTURE(path, end);
+  const std::string service = path == "/stream/x" ? "chat" : "plain";
+  std::string bytes;
+  const auto script = [&](size_t) { return AbruptServer::Answer{bytes, end}; };
+  AddAbrupt("a", service, script);
+  AddAbrupt("b", service, script);
+  for (size_t cut = 1; cut < head.size(); cut += 5) {
+    bytes = head.substr(0, cut);
+    CAPTURE(bytes);
+    ScriptedCaller& caller = SendRequest(
+        "POST", path, "r" + std::to_string(cut), "Content-Length: 0\r\n");
+    REQUIRE(RunUntil([&] { return Has(caller.received(), "\r\n\r\n"); }));
+    CHECK_FALSE(Has(caller.received(), "HTTP/1.1 200 "));
+    CHECK_FALSE(Has(caller.received(), "stamp"));
+  }
+}
+
 }  // namespace qh
--- a/tests/qh_net/http_client_test.cpp
+++ b/tests/qh_net/http_client_test.cpp
@@ -87,4 +87,46 @@
   CHECK(server.connections() == 2);
 }
 
+// Guards against a call that is answered with an interim answer, or with a
+// status that is none.
+TEST_CASE("interim answers don't answer a control call") {
+  const std::string interim =
+      GENERATE("HTTP/1.1 100 Continue\r\n\r\n",
+               "HTTP/1.1 103 Hints\r\nLink: </x>\r\n\r\n",
+               "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Wait\r\n\r\n");
+  const CallReply reply =
+      CallOnce({interim + "HTTP/1.1 201 Made\r\nContent-Length: 2\r\n\r\n{}"});
+  CHECK(reply.outcome == HttpCallOutcome::kAnswered);
+  CHECK(reply.status == 201);
+  CHECK(reply.body == "{}");
+  CHECK(CallOnce({interim, End::kClose}).outcome == HttpCallOutcome::kNoAnswer);
+  CHECK(CallOnce({interim}).outcome == HttpCallOutcome::kNoAnswer);
+}
+
+TEST_CASE("a status outside 100 to 599 answers no control call") {
+  const std::string status = GENERATE("000", "099", "101", "600", "999");
+  const CallReply reply =
+      CallOnce({"HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n{}"});
+  CHECK(reply.outcome == HttpCallOutcome::kNoAnswer);
+  CHECK(reply.status == 0);
+}
+
+// Guards against a call that is answered by the beginning of an answer.
+TEST_CASE("an answer of a control call that is cut anywhere is none") {
+  const std::string answer = GENERATE(
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+      "Content-Length: 7\r\n\r\n{\"a\":1}",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\n{\"a\r\n4;ext=1\r\n\":1}\r\n0\r\nTrailer: x\r\n\r\n",
+      "HTTP/1.1 103 Hints\r\nLink: </x>\r\n\r\n"
+      "HTTP/1.1 204 None\r\nETag: \"5\"\r\n\r\n");
+  const End end = GENERATE(End::kClose, End::kReset);
+  for (size_t cut = 1; cut < answer.size(); cut += 3) {
+    CAPTURE(answer.substr(0, cut), end);
+    CHECK(CallOnce({answer.substr(0, cut), end}).outcome ==
+          HttpCallOutcome::kNoAnswer);
+  }
+  CHECK(CallOnce({answer, end}).outcome == HttpCallOutcome::kAnswered);
+}
+
 }  // namespace qh
