quetzalhalld: a crash or an odd status completes no answer

What callers saw: a plain answer without a length whose server crashed, and closed its connection in order as it did, passed for whole; answers with the status 000, 099, 103, 600 and 999 were handed on.

Cause: the client took the library's word, for which an end of file ends an answer without a length, and every status but 100 is a final one.

Change: JudgeAnswer of the client weighs the library's result, the status and, for an answer without a length, whether its server still accepts connections.

Streams of engines were sound: they end with an event of their own.

--- a/modules/qh_node/upstream/backend_client.cpp
+++ b/modules/qh_node/upstream/backend_client.cpp
@@ -1,14 +1,20 @@
 #include "qh_node/upstream/backend_client.h"
 
 #include <httplib.h>
+#include <unistd.h>
 
 #include <map>
 #include <mutex>
+#include <thread>
+
+#include "qh_peer/tcp_socket.h"
 
 namespace qh {
 namespace {
 
 constexpr auto kConnectTimeout = std::chrono::milliseconds(1'000);
+constexpr auto kProbeTimeout = std::chrono::milliseconds(300);
+constexpr auto kOrderlyEndDelay = std::chrono::milliseconds(30);
 constexpr size_t kMaxIdlePerServer = 64;
 constexpr const char* kRequestIdHeader = "X-Request-Id";
 
@@ -41,6 +47,44 @@
   return request;
 }
 
+// RFC 9110, section 15: other values are invalid. The library skips a 100 and
+// takes any other interim answer for the final one.
+bool IsFinalStatus(int status) {
+  return status >= 200 && status <= 599;
+}
+
+// Whether an answer ends only with its connection.
+bool HasNoLength(const httplib::Response& response) {
+  return !response.has_header("Content-Length") &&
+         !response.has_header("Transfer-Encoding") && response.status != 204 &&
+         response.status != 304;
+}
+
+// Whether the server accepts connections, some time after it closed one. A
+// process that ends may close its connections before its listening socket.
+bool StillLives(const Address& server) {
+  std::this_thread::sleep_for(kOrderlyEndDelay);
+  const auto socket = ConnectTcp(server.host, server.port, kProbeTimeout);
+  if (socket) {
+    close(socket.value());
+  }
+  return bool(socket);
+}
+
+// Returns how the call ended, from all that is known of its answer. A server
+// that crashes may close its connections in order.
+BackendCallOutcome JudgeAnswer(const httplib::Result& result,
+                               const Address& server) {
+  const BackendCallOutcome outcome = ToBackendCallOutcome(result.error());
+  if (outcome != BackendCallOutcome::kCompleted) {
+    return outcome;
+  }
+  const bool usable = IsFinalStatus(result->status);
+  const bool whole =
+      usable && (!HasNoLength(result.value()) || StillLives(server));
+  return whole ? BackendCallOutcome::kCompleted : BackendCallOutcome::kLost;
+}
+
 }  // namespace
 
 // Pool of idle connections by server address.
@@ -104,10 +148,10 @@
   };
   const auto result = client->send(request);
   BackendReply reply;
-  reply.outcome = ToBackendCallOutcome(result.error());
+  reply.outcome = JudgeAnswer(result, call.address);
   reply.status = status;
   reply.body = std::move(body);
-  if (reply.outcome == BackendCallOutcome::kCompleted && result) {
+  if (reply.outcome == BackendCallOutcome::kCompleted) {
     reply.content_type = result->get_header_value("Content-Type");
     reply.echoed_request_id = result->get_header_value(kRequestIdHeader);
     pool_->Return(call.address, std::move(client));
--- a/modules/qh_node/upstream/backend_client.h
+++ b/modules/qh_node/upstream/backend_client.h
@@ -46,7 +46,8 @@
   kCompleted,
   // No connection could be made; no byte reached the server.
   kNotConnected,
-  // The connection failed before the answer was complete.
+  // The connection failed before the answer was complete, what came is no
+  // answer, or the server died as it ended an answer without a length.
   kLost,
   kTimeout,
   // BackendCall::on_body_chunk returned false.
--- a/tests/fakes/abrupt_server.cpp
+++ b/tests/fakes/abrupt_server.cpp
@@ -93,11 +93,14 @@
     Read(connection);
     return;
   }
+  if (answer.end == End::kExit) {
+    acceptor_.close(ignored);
+  }
   connection->timer.expires_after(kEndDelay);
   connection->timer.async_wait(
       [connection, end = answer.end](const boost::system::error_code&) {
         boost::system::error_code ignored;
-        if (end == End::kClose) {
+        if (end != End::kReset) {
           connection->socket.shutdown(TcpSocket::shutdown_send, ignored);
           // Stays open for reading, and reads nothing.
           connection->timer.expires_after(std::chrono::seconds(1));
--- a/tests/fakes/abrupt_server.h
+++ b/tests/fakes/abrupt_server.h
@@ -17,7 +17,8 @@
 class AbruptServer {
  public:
   // What follows the answer, 10 ms later.
-  enum class End { kKeepOpen, kClose, kReset };
+  // With kExit the server stops listening as well, and closes in order.
+  enum class End { kKeepOpen, kClose, kReset, kExit };
   struct Answer {
     // %ID% is replaced by the request's id.
     std::string bytes;
