A stopped stream goes back to its source only while all nodes may send there

Another node may have learned 250 ms sooner that the server leaves, so the drain time counts from then. A further notice no longer takes the timer that closes a stream which its engine stopped and left open. test_qh_gateway's cases of moved streams and early answers pass.

--- a/modules/qh_gateway/forwarding/exchange_migration.cpp
+++ b/modules/qh_gateway/forwarding/exchange_migration.cpp
@@ -18,6 +18,8 @@
 // How long a stream stays open after its run was stopped, for events that are
 // still on their way.
 constexpr auto kStoppedStreamTimeout = std::chrono::milliseconds(100);
+// How much sooner another node may have learned that a server leaves.
+constexpr auto kNoticeSpread = std::chrono::milliseconds(250);
 // Pause before a run that went on at a leaving server is migrated again.
 constexpr auto kMigrationRetryInterval = std::chrono::milliseconds(100);
 
@@ -30,7 +32,9 @@
   }
   const TimePoint now = MonotonicNow();
   notice_ = {.leaves_at = now + leaves_in, .received = now};
-  ArmMigrationTimer(MigrationDelay(leaves_in));
+  if (!IsStopped(evidence_.stop)) {
+    ArmMigrationTimer(MigrationDelay(leaves_in));
+  }
 }
 
 void Exchange::ArmMigrationTimer(Duration delay) {
@@ -176,7 +180,7 @@
 
 bool Exchange::SourceTakesRequests(TimePoint now) const {
   return notice_ && now < notice_->leaves_at &&
-         now < notice_->received + state_.settings.server_drain;
+         now + kNoticeSpread < notice_->received + state_.settings.server_drain;
 }
 
 void Exchange::ContinueRun(const ServerPick& pick) {
