--- a/tests/qh_gateway/early_answer_test.cpp
+++ b/tests/qh_gateway/early_answer_test.cpp
@@ -31,12 +31,7 @@
                           const std::string& service,
                           AbruptServer::Script script) {
     servers_.push_back(std::make_unique<AbruptServer>(io, std::move(script)));
-    ServerRecord record;
-    record.id = ServerId(id);
-    record.service = service;
-    record.address = servers_.back()->address();
-    record.slots = 4;
-    state.directory.OnServer(record, MonotonicNow());
+    Register(id, service, servers_.back()->address());
     return *servers_.back();
   }
 
--- a/tests/qh_gateway/gateway_fixture.cpp
+++ b/tests/qh_gateway/gateway_fixture.cpp
@@ -322,13 +322,19 @@
                                           const std::string& service,
                                           ScriptedServer::Script script) {
   servers_.push_back(std::make_unique<ScriptedServer>(io, std::move(script)));
+  Register(id, service, servers_.back()->address());
+  return *servers_.back();
+}
+
+void GatewayFixture::Register(const std::string& id,
+                              const std::string& service,
+                              const Address& address) {
   ServerRecord record;
   record.id = ServerId(id);
   record.service = service;
-  record.address = servers_.back()->address();
+  record.address = address;
   record.slots = 4;
   state.directory.OnServer(record, MonotonicNow());
-  return *servers_.back();
 }
 
 ScriptedCaller& GatewayFixture::AddCaller() {
--- a/tests/qh_gateway/gateway_fixture.h
+++ b/tests/qh_gateway/gateway_fixture.h
@@ -139,6 +139,10 @@
   ScriptedServer& AddServer(const std::string& id,
                             const std::string& service,
                             ScriptedServer::Script script);
+  // Registers a server that listens at `address`.
+  void Register(const std::string& id,
+                const std::string& service,
+                const Address& address);
   ScriptedCaller& AddCaller();
   // Sends a request on a new connection and returns its caller. `id` is the
   // request's id; `more` holds further header lines and the body.
--- a/tests/qh_gateway/moved_stream_test.cpp
+++ b/tests/qh_gateway/moved_stream_test.cpp
@@ -64,6 +64,20 @@
     state.directory.OnServer(record, MonotonicNow());
   }
 
+  // Lets the source leave, which is asked to stop the run, and waits until the
+  // answer has ended. If the reply comes first, the stream is closed `pause`
+  // later.
+  void EndByMove(Duration pause) {
+    Leave();
+    REQUIRE(RunUntil([&] { return moves == 1; }));
+    if (order == Order::kReplyFirst) {
+      RunFor(pause);
+      CHECK_FALSE(is_done());
+      CloseSource();
+    }
+    REQUIRE(RunUntil([&] { return is_done(); }));
+  }
+
   // Closes the source's streams without their end.
   void CloseSource() { source_->EndStalled(); }
 
@@ -167,14 +181,7 @@
   chunked = GENERATE(false, true);
   CAPTURE(order, chunked);
   Begin();
-  Leave();
-  REQUIRE(RunUntil([&] { return moves == 1; }));
-  if (order == Order::kReplyFirst) {
-    RunFor(milliseconds(20));
-    CHECK_FALSE(is_done());
-    CloseSource();
-  }
-  REQUIRE(RunUntil([&] { return is_done(); }));
+  EndByMove(milliseconds(20));
   CHECK(is_whole());
   CHECK(continued == 1);
   CHECK(continued_at != source_id_.value());
@@ -191,14 +198,7 @@
   resets_move = reply == 0;
   move_reply = KvReply(reply, "{}");
   Begin();
-  Leave();
-  REQUIRE(RunUntil([&] { return moves == 1; }));
-  if (order == Order::kReplyFirst) {
-    RunFor(milliseconds(60));
-    CHECK_FALSE(is_done());
-    CloseSource();
-  }
-  REQUIRE(RunUntil([&] { return is_done(); }));
+  EndByMove(milliseconds(60));
   CHECK_FALSE(ends_as_complete());
 }
 
@@ -211,13 +211,7 @@
   resets_move = reply == 0;
   move_reply = KvReply(reply, "{}");
   Begin("/resume/x");
-  Leave();
-  REQUIRE(RunUntil([&] { return moves == 1; }));
-  if (order == Order::kReplyFirst) {
-    RunFor(milliseconds(40));
-    CloseSource();
-  }
-  REQUIRE(RunUntil([&] { return is_done(); }));
+  EndByMove(milliseconds(40));
   CHECK(is_whole());
 }
 
@@ -229,13 +223,7 @@
   CAPTURE(order, chunked);
   move_reply = KvReply(503, kHandle);
   Begin();
-  Leave();
-  REQUIRE(RunUntil([&] { return moves == 1; }));
-  if (order == Order::kReplyFirst) {
-    RunFor(milliseconds(20));
-    CloseSource();
-  }
-  REQUIRE(RunUntil([&] { return is_done(); }));
+  EndByMove(milliseconds(20));
   CHECK(is_whole());
   CHECK(continued == 1);
   CHECK(continued_at == source_id_.value());
@@ -262,13 +250,7 @@
   Begin();
   source().SendStalled(EventsOf(false, 3, 4));
   REQUIRE(RunUntil([&] { return Has(caller().received(), "id: 4\n"); }));
-  Leave();
-  REQUIRE(RunUntil([&] { return moves == 1; }));
-  if (order == Order::kReplyFirst) {
-    RunFor(milliseconds(20));
-    CloseSource();
-  }
-  REQUIRE(RunUntil([&] { return is_done(); }));
+  EndByMove(milliseconds(20));
   CHECK(is_whole());
   CHECK(continued == 0);
 }
