--- a/tests/qh_gateway/moved_stream_test.cpp
+++ b/tests/qh_gateway/moved_stream_test.cpp
@@ -46,13 +46,14 @@
 class MovedStream : public GatewayFixture {
  public:
   // Sends a request and waits for its first events.
-  void Begin(const std::string& path = "/stream/x") {
+  void Begin(const std::string& path = "/stream/x",
+             const std::string& fields = "") {
     for (const char* id : {"a", "b"}) {
       servers_[id] = &AddServer(
           id, "chat",
           [this](size_t, const HttpHead& head) { return Reply(head); });
     }
-    caller_ = &SendRequest("GET", path);
+    caller_ = &SendRequest("GET", path, "r1", fields);
     REQUIRE(RunUntil([&] { return Has(caller_->received(), "id: 2\n"); }));
   }
 
@@ -310,22 +311,25 @@
   CHECK_FALSE(ends_as_complete());
 }
 
-// The caller's time, or the node's, ends while the reply is awaited.
+// The call, the caller's time or the node ends while the reply is awaited.
 TEST_CASE_METHOD(MovedStream,
                  "nothing ends a stream while a reply is awaited") {
-  const bool node_stops = GENERATE(false, true);
-  CAPTURE(node_stops);
+  enum class Ends { kCall, kCaller, kNode };
+  const Ends ends = GENERATE(Ends::kCall, Ends::kCaller, Ends::kNode);
+  CAPTURE(ends);
   move_reply = "";
-  Begin();
+  Begin("/stream/x", ends == Ends::kCaller ? "Deadline-Ms: 250\r\n" : "");
+  const TimePoint start = MonotonicNow();
   Leave();
   REQUIRE(RunUntil([&] { return moves == 1; }));
   RunFor(milliseconds(60));
   CHECK_FALSE(is_done());
-  if (node_stops) {
+  if (ends == Ends::kNode) {
     state.EndOpenRequests();
   }
   REQUIRE(RunUntil([&] { return is_done(); }));
   CHECK_FALSE(ends_as_complete());
+  CHECK((MonotonicNow() - start < milliseconds(500)) == (ends != Ends::kCall));
 }
 
 // A stream whose silent server is replaced belongs to the new server: the reply
