--- a/review/world-3/world.cpp
+++ b/review/world-3/world.cpp
@@ -140,7 +140,9 @@
 }
 
 Stream::~Stream() {
-  close(socket_);
+  if (owns_) {
+    close(socket_);
+  }
 }
 
 bool Stream::WaitReadable(double seconds) const {
@@ -251,6 +253,16 @@
   threads_.emplace_back([this] { Accept(); });
 }
 
+void Path::End() {
+  Note("the process at " + name_ + " exits");
+  stopped_ = true;
+  shutdown(listener_, SHUT_RDWR);
+  const std::lock_guard lock(mutex_);
+  for (const int socket : sockets_) {
+    shutdown(socket, SHUT_RDWR);
+  }
+}
+
 Path::~Path() {
   Heal();
   stopped_ = true;
@@ -324,12 +336,18 @@
     const int on = 1;
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     const std::lock_guard lock(mutex_);
-    threads_.emplace_back([this, socket] { Serve(socket); });
+    sockets_.insert(socket);
+    threads_.emplace_back([this, socket] {
+      Serve(socket);
+      const std::lock_guard forget(mutex_);
+      sockets_.erase(socket);
+      close(socket);
+    });
   }
 }
 
 void Path::Serve(int socket) {
-  Stream stream(socket);
+  Stream stream(socket, Stream::Owns::kNo);
   while (!stopped_) {
     const bool readable = stream.WaitReadable(kPollSeconds);
     if (cut_) {
--- a/review/world-3/world.h
+++ b/review/world-3/world.h
@@ -19,6 +19,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -63,10 +64,14 @@
                        const std::string& body,
                        const std::vector<std::string>& fields = {});
 
-// Reads messages from a socket and writes to it. Not copied; closes the socket.
+// Reads messages from a socket and writes to it. Closes a socket
+// that it owns.
 class Stream {
  public:
-  explicit Stream(int socket) : socket_(socket) {}
+  enum class Owns { kNo, kYes };
+
+  explicit Stream(int socket, Owns owns = Owns::kYes)
+      : socket_(socket), owns_(owns == Owns::kYes) {}
   ~Stream();
   Stream(const Stream&) = delete;
   Stream& operator=(const Stream&) = delete;
@@ -82,6 +87,7 @@
 
  private:
   int socket_;
+  bool owns_;
   std::string received_;
 };
 
@@ -104,6 +110,9 @@
   int port() const { return port_; }
   void Cut();
   void Heal();
+  // The process behind the path exits: open connections end without an answer,
+  // and new ones are refused.
+  void End();
 
  private:
   void Accept();
@@ -120,6 +129,7 @@
   // Fills the queue of new connections while the path is cut.
   std::vector<int> fillers_;
   std::vector<std::thread> threads_;
+  std::set<int> sockets_;
   std::mutex mutex_;
 };
 
