--- a/review/world-3/hot_content.cpp
+++ b/review/world-3/hot_content.cpp
@@ -69,12 +69,11 @@
     threads_.emplace_back([this, node, address] {
       while (!stopped_) {
         SleepFor(Uniform(0, kThinkSeconds));
-        const bool hot =
-            Uniform(0, 1) < (hot_phase_ ? kHotShare : kUsualShare);
+        const bool hot = Uniform(0, 1) < (hot_phase_ ? kHotShare : kUsualShare);
         const std::string path =
-            "/read/" + (hot ? "popular"
-                            : std::to_string(
-                                  static_cast<int>(Uniform(0, 100'000))));
+            "/read/" +
+            (hot ? "popular"
+                 : std::to_string(static_cast<int>(Uniform(0, 100'000))));
         const std::string id = NewId();
         const Reply reply =
             Ask(address,
--- a/review/world-3/stale_list.cpp
+++ b/review/world-3/stale_list.cpp
@@ -165,8 +165,8 @@
            arrival.server + " " + std::to_string(arrival.at - gone_at) +
            " s after the store acknowledged that it is gone, and its caller "
            "sent it " +
-           std::to_string(arrival.sent.at - in_touch_at) +
-           " s after " + kAdded + " was in touch");
+           std::to_string(arrival.sent.at - in_touch_at) + " s after " +
+           kAdded + " was in touch");
     }
   }
   std::printf(
@@ -210,12 +210,11 @@
     const std::string name = "edge-" + std::to_string(i);
     const std::string host = HostOf(1 + i);
     Machine& machine = machines[name];
-    machine.store = std::make_unique<Path>(
-        name + " to store", host, [&store, name](const Message& call) {
-          return store.Answer(name, call);
-        });
-    machine.cloud =
-        std::make_unique<Path>(name + " to cloud", host, cloud);
+    machine.store = std::make_unique<Path>(name + " to store", host,
+                                           [&store, name](const Message& call) {
+                                             return store.Answer(name, call);
+                                           });
+    machine.cloud = std::make_unique<Path>(name + " to cloud", host, cloud);
     machine.gateway = std::make_unique<Gateway>(
         NodePlan{.name = name,
                  .zone = "zone-" + std::to_string(i),
--- a/review/world-3/stale_orders.cpp
+++ b/review/world-3/stale_orders.cpp
@@ -38,8 +38,8 @@
               .at = Now()};
     const bool is_order = call.target() == "/scale";
     if (is_order) {
-      seen.subject = "scale " + body.value("service", "") + " " +
-                     body.value("zone", "");
+      seen.subject =
+          "scale " + body.value("service", "") + " " + body.value("zone", "");
     }
     Note("cloud gets " + seen.subject + " from " + seen.holder + ", fence " +
          std::to_string(seen.fence) + ": " + call.body);
@@ -64,37 +64,37 @@
   for (const std::string& zone : kZones) {
     prices[zone] = 1.0;
   }
-  return {{"version", 7},
-          {"routes",
-           {{{"name", "chat"},
-             {"host", "h"},
-             {"pathPrefix", "/chat/"},
-             {"routeKind", "stream"},
-             {"timeoutMs", 15'000},
-             {"targetLatencyMs", 1'000},
-             {"priority", 1},
-             {"service", "pool"},
-             {"maxAttempts", 1},
-             {"sticky", true},
-             {"resumable", false},
-             {"gapTargetMs", 500}}}},
-          {"services",
-           {{{"name", "pool"},
-             {"healthPath", "/healthz"},
-             {"maxConns", 370},
-             {"engine",
-              {{"slots", 64}, {"kvCapacity", 765'419}, {"stride", 5}}},
-             {"scaling",
-              {{"min", 1},
-               {"max", 6},
-               {"bootS", 4.0},
-               {"spotPrice", 0.18},
-               {"zonePrices", prices}}}}}},
-          {"limits",
-           {{"maxHeaderBytes", 16'384},
-            {"maxBodyBytes", 4'194'304},
-            {"headerTimeoutMs", 3'000},
-            {"idleTimeoutMs", 15'000}}}};
+  return {
+      {"version", 7},
+      {"routes",
+       {{{"name", "chat"},
+         {"host", "h"},
+         {"pathPrefix", "/chat/"},
+         {"routeKind", "stream"},
+         {"timeoutMs", 15'000},
+         {"targetLatencyMs", 1'000},
+         {"priority", 1},
+         {"service", "pool"},
+         {"maxAttempts", 1},
+         {"sticky", true},
+         {"resumable", false},
+         {"gapTargetMs", 500}}}},
+      {"services",
+       {{{"name", "pool"},
+         {"healthPath", "/healthz"},
+         {"maxConns", 370},
+         {"engine", {{"slots", 64}, {"kvCapacity", 765'419}, {"stride", 5}}},
+         {"scaling",
+          {{"min", 1},
+           {"max", 6},
+           {"bootS", 4.0},
+           {"spotPrice", 0.18},
+           {"zonePrices", prices}}}}}},
+      {"limits",
+       {{"maxHeaderBytes", 16'384},
+        {"maxBodyBytes", 4'194'304},
+        {"headerTimeoutMs", 3'000},
+        {"idleTimeoutMs", 15'000}}}};
 }
 
 // A machine's paths to the platform.
@@ -207,10 +207,10 @@
     const std::string name = "edge-" + std::to_string(i);
     const std::string host = HostOf(1 + i);
     Machine& machine = machines[name];
-    machine.store = std::make_unique<Path>(
-        name + " to store", host, [&store, name](const Message& call) {
-          return store.Answer(name, call);
-        });
+    machine.store = std::make_unique<Path>(name + " to store", host,
+                                           [&store, name](const Message& call) {
+                                             return store.Answer(name, call);
+                                           });
     machine.cloud = std::make_unique<Path>(
         name + " to cloud", host,
         [&cloud](const Message& call) { return cloud.Answer(call); });
--- a/review/world-3/world.cpp
+++ b/review/world-3/world.cpp
@@ -194,8 +194,8 @@
           return message;
         }
       } else {
-        const size_t size = std::strtoul(
-            message.Field("content-length").c_str(), nullptr, 10);
+        const size_t size =
+            std::strtoul(message.Field("content-length").c_str(), nullptr, 10);
         if (received_.size() >= body + size) {
           message.body = received_.substr(body, size);
           received_.erase(0, body + size);
