--- a/review/world-3/stale_list.cpp
+++ b/review/world-3/stale_list.cpp
@@ -5,7 +5,6 @@
 #include <signal.h>
 
 #include <cstdio>
-#include <set>
 
 #include "world.h"
 
@@ -139,6 +138,7 @@
   std::unique_ptr<Gateway> gateway;
 };
 
+// What the added machine's list of the servers has brought about.
 struct StoreNews {
   std::atomic<double> gone_at = 0;
   std::atomic<bool> listed = false;
--- a/review/world-3/stale_orders.cpp
+++ b/review/world-3/stale_orders.cpp
@@ -13,7 +13,14 @@
 
 constexpr double kThawSeconds = 0.3;
 constexpr double kLeaseSeconds = 6;
+// Age of the lease's last renewal when the cut begins.
+constexpr double kMinLeaseAge = 0.3;
+constexpr double kMaxLeaseAge = 1.4;
 constexpr int kNodes = 5;
+// Orders for a zone: reclaimable servers and others.
+constexpr size_t kKinds = 2;
+// Batches of orders that are refused before the cut.
+constexpr size_t kCalmBatches = 3;
 
 const std::vector<std::string> kZones = {"hu-central-a", "hu-central-b",
                                          "hu-central-c", "hu-central-d",
@@ -109,8 +116,11 @@
   double began = 0;
 };
 
-// Waits until the duties' holder has just been refused a batch of orders.
-std::optional<Batch> NextBatch(Cloud& cloud) {
+// Waits until the duties' holder has just been refused a batch of orders, and
+// will still hold its lease when the next batch is due. `renewed` is when the
+// lease was written last.
+std::optional<Batch> NextBatch(Cloud& cloud,
+                               const std::atomic<double>& renewed) {
   const double end = Now() + 30;
   while (Now() < end) {
     const auto seen = cloud.seen();
@@ -118,10 +128,11 @@
     for (const auto& call : seen) {
       orders += call.subject == "usage" ? 0 : 1;
     }
-    const bool batch_ended = orders >= 3 * 2 * kZones.size() &&
+    const bool batch_ended = orders >= kCalmBatches * kKinds * kZones.size() &&
                              seen.back().subject != "usage" &&
                              Now() - seen.back().at > 0.15;
-    if (batch_ended) {
+    const double lease_age = Now() - renewed;
+    if (batch_ended && lease_age > kMinLeaseAge && lease_age < kMaxLeaseAge) {
       size_t first = seen.size() - 1;
       while (first > 0 && seen[first - 1].at > seen.back().at - 0.5) {
         --first;
@@ -188,6 +199,12 @@
 int Run() {
   ObjectStore store;
   Cloud cloud;
+  std::atomic<double> renewed = 0;
+  store.on_call = [&renewed](const ObjectStore::Call& call) {
+    if (call.kind == "leases" && call.method != "GET") {
+      renewed = Now();
+    }
+  };
   store.Put("config", "main", Config());
   int server = 0;
   for (const std::string& zone : kZones) {
@@ -221,7 +238,7 @@
     machine.gateway->Start();
   }
   int result = kCouldNotRun;
-  const auto batch = NextBatch(cloud);
+  const auto batch = NextBatch(cloud, renewed);
   if (!batch) {
     std::puts("no node took the duties");
   } else if (!HasTrouble()) {
--- a/review/world-3/world.cpp
+++ b/review/world-3/world.cpp
@@ -295,7 +295,9 @@
     const auto [host, port] = Split(address_);
     const sockaddr_in to = ToSocketAddress(host, port);
     fcntl(filler, F_SETFL, O_NONBLOCK);
-    connect(filler, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+    // It is not waited for: only its place in the queue matters.
+    static_cast<void>(
+        connect(filler, reinterpret_cast<const sockaddr*>(&to), sizeof(to)));
     fillers_.push_back(filler);
   }
 }
