Gateway: logs tell the revision of each list of the store

Neither a list's revision nor that it was older than what the node knew could be read in the logs, so the hypotheses on the cause could not be told apart.

Change: each list of the servers and of the nodes is logged as "store_listed" with its epoch and revision, beside the version of the node's own copy.

--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -140,7 +140,7 @@
   config_watcher_ = MakeWatcher(
       codec_.config_kind,
       {.on_list =
-           [this](const std::vector<StoredObject>& objects) {
+           [this](const std::vector<StoredObject>& objects, uint64_t) {
              for (const StoredObject& object : objects) {
                OnConfigObject(object);
              }
@@ -152,7 +152,8 @@
   server_watcher_ = MakeWatcher(
       codec_.server_kind,
       {.on_list =
-           [this](const std::vector<StoredObject>& objects) {
+           [this](const std::vector<StoredObject>& objects, uint64_t revision) {
+             LogList("servers", objects.size(), revision, server_mirror_);
              OnServerList(objects);
            },
        .on_change =
@@ -172,7 +173,8 @@
   node_watcher_ = MakeWatcher(
       kGatewayNodeKind,
       {.on_list =
-           [this](const std::vector<StoredObject>& objects) {
+           [this](const std::vector<StoredObject>& objects, uint64_t revision) {
+             LogList("nodes", objects.size(), revision, node_mirror_);
              OnNodeList(objects);
            },
        .on_change =
@@ -183,17 +185,15 @@
            },
        .list_may_be_old = true});
   if (settings.rollout_bounds) {
-    rollout_watcher_ =
-        MakeWatcher(codec_.rollout_kind,
-                    {.on_list =
-                         [this](const std::vector<StoredObject>& objects) {
-                           rollout_control_.OnList(objects);
-                         },
-                     .on_change =
-                         [this](const StoredObject& object) {
-                           rollout_control_.OnChange(object);
-                         },
-                     .on_confirmed = [](uint64_t) {}});
+    rollout_watcher_ = MakeWatcher(
+        codec_.rollout_kind,
+        {.on_list = [this](const std::vector<StoredObject>& objects,
+                           uint64_t) { rollout_control_.OnList(objects); },
+         .on_change =
+             [this](const StoredObject& object) {
+               rollout_control_.OnChange(object);
+             },
+         .on_confirmed = [](uint64_t) {}});
   }
   // The other nodes come first: they decide whether this one follows the store.
   node_watcher_->Start();
--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -108,6 +108,12 @@
   // Decodes a server's registration; logs one that can't be decoded.
   std::optional<ServerRecord> ReadServer(const StoredObject& object);
   void OnServerList(const std::vector<StoredObject>& objects);
+  // Logs the revision of a list of the store beside the version that `mirror`
+  // has before the list is applied.
+  void LogList(const char* kind,
+               size_t objects,
+               uint64_t revision,
+               const StoreMirror& mirror);
   // Registers this node anew if the store has lost its registration.
   void OnNodeList(const std::vector<StoredObject>& objects);
   void OnNodeObject(const StoredObject& object);
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -187,6 +187,22 @@
   UpdateReadiness();
 }
 
+void GatewayNode::LogList(const char* kind,
+                          size_t objects,
+                          uint64_t revision,
+                          const StoreMirror& mirror) {
+  const StoreVersion listed{state_.store_epoch.current(), revision};
+  state_.log.Write(LogLine(ToName(GatewayEvent::kStoreListed))
+                       .With("kind", kind)
+                       .With("objects", objects)
+                       .With("epoch", listed.epoch)
+                       .With("revision", revision)
+                       .With("known_epoch", mirror.version().epoch)
+                       .With("known_revision", mirror.version().revision)
+                       .With("older", listed < mirror.version()),
+                   GatewayEvent::kStoreListed);
+}
+
 void GatewayNode::OnNodeList(const std::vector<StoredObject>& objects) {
   nodes_listed_at_ = nodes_listed_at_.value_or(MonotonicNow());
   node_mirror_.OnList(objects);
--- a/modules/qh_gateway/control/store_watcher.cpp
+++ b/modules/qh_gateway/control/store_watcher.cpp
@@ -103,7 +103,7 @@
   just_started_ = false;
   OnSuccess();
   revision_ = list_revision_;
-  hooks_.on_list(listed_objects_);
+  hooks_.on_list(listed_objects_, revision_);
   listed_objects_.clear();
   hooks_.on_confirmed(revision_);
   Watch();
--- a/modules/qh_gateway/control/store_watcher.h
+++ b/modules/qh_gateway/control/store_watcher.h
@@ -43,8 +43,10 @@
   static constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(600);
 
   struct Hooks {
-    // Receives all objects of the kind, after each complete list.
-    std::function<void(const std::vector<StoredObject>&)> on_list;
+    // Receives all objects of the kind and the store's revision that they
+    // reflect, after each complete list.
+    std::function<void(const std::vector<StoredObject>&, uint64_t revision)>
+        on_list;
     // Receives one added, changed or removed object.
     std::function<void(const StoredObject&)> on_change;
     // The objects reported so far are the state of the store at `revision`.
--- a/tests/qh_gateway/store_restore_test.cpp
+++ b/tests/qh_gateway/store_restore_test.cpp
@@ -52,7 +52,7 @@
         io, store->address(), codec.store, state.store_epoch, "k", 1,
         StoreWatcher::Hooks{
             .on_list =
-                [this](const std::vector<StoredObject>& objects) {
+                [this](const std::vector<StoredObject>& objects, uint64_t) {
                   revisions.push_back(objects.front().revision);
                 },
             .on_change =
--- a/tests/qh_gateway/store_watcher_test.cpp
+++ b/tests/qh_gateway/store_watcher_test.cpp
@@ -32,7 +32,7 @@
         io, store->address(), codec.store, state.store_epoch, "k", 1,
         StoreWatcher::Hooks{
             .on_list =
-                [this](const std::vector<StoredObject>& objects) {
+                [this](const std::vector<StoredObject>& objects, uint64_t) {
                   for (const StoredObject& object : objects) {
                     revisions.push_back(object.revision);
                   }
