--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -139,61 +139,38 @@
                    GatewayEvent::kStarted);
   config_watcher_ = MakeWatcher(
       codec_.config_kind,
-      {.on_list =
-           [this](const std::vector<StoredObject>& objects, uint64_t) {
-             for (const StoredObject& object : objects) {
+      {.on_update =
+           [this](const StoreUpdate& update) {
+             for (const StoredObject& object : update.objects) {
                OnConfigObject(object);
              }
+             return update.version;
            },
-       .on_change =
-           [this](const StoredObject& object) { OnConfigObject(object); },
-       .on_confirmed =
-           [this](uint64_t) { OnStoreConfirmed(StateKind::kConfig); }});
+       .on_confirmed = [this] { OnStoreConfirmed(StateKind::kConfig); }});
   server_watcher_ = MakeWatcher(
       codec_.server_kind,
-      {.on_list =
-           [this](const std::vector<StoredObject>& objects, uint64_t revision) {
-             LogList("servers", objects.size(), revision, server_mirror_);
-             OnServerList(objects);
+      {.on_update =
+           [this](const StoreUpdate& update) {
+             OnServers(update);
+             return server_mirror_.version();
            },
-       .on_change =
-           [this](const StoredObject& object) { OnServerObject(object); },
-       .on_confirmed =
-           [this](uint64_t revision) {
-             server_mirror_.OnConfirmed(
-                 {state_.store_epoch.current(), revision});
-             OnStoreConfirmed(StateKind::kServers);
-           },
-       .known_revision =
-           [this] {
-             const StoreVersion& known = server_mirror_.version();
-             return known.epoch == state_.store_epoch.current() ? known.revision
-                                                                : 0;
-           }});
-  node_watcher_ = MakeWatcher(
-      kGatewayNodeKind,
-      {.on_list =
-           [this](const std::vector<StoredObject>& objects, uint64_t revision) {
-             LogList("nodes", objects.size(), revision, node_mirror_);
-             OnNodeList(objects);
-           },
-       .on_change =
-           [this](const StoredObject& object) { OnNodeObject(object); },
-       .on_confirmed =
-           [this](uint64_t revision) {
-             node_mirror_.OnConfirmed({state_.store_epoch.current(), revision});
-           },
-       .list_may_be_old = true});
+       .on_confirmed = [this] { OnStoreConfirmed(StateKind::kServers); }});
+  node_watcher_ =
+      MakeWatcher(kGatewayNodeKind, {.on_update =
+                                         [this](const StoreUpdate& update) {
+                                           OnNodes(update);
+                                           return node_mirror_.version();
+                                         },
+                                     .on_confirmed = [] {},
+                                     .list_may_be_old = true});
   if (settings.rollout_bounds) {
-    rollout_watcher_ = MakeWatcher(
-        codec_.rollout_kind,
-        {.on_list = [this](const std::vector<StoredObject>& objects,
-                           uint64_t) { rollout_control_.OnList(objects); },
-         .on_change =
-             [this](const StoredObject& object) {
-               rollout_control_.OnChange(object);
-             },
-         .on_confirmed = [](uint64_t) {}});
+    rollout_watcher_ = MakeWatcher(codec_.rollout_kind,
+                                   {.on_update =
+                                        [this](const StoreUpdate& update) {
+                                          rollout_control_.OnUpdate(update);
+                                          return update.version;
+                                        },
+                                    .on_confirmed = [] {}});
   }
   // The other nodes come first: they decide whether this one follows the store.
   node_watcher_->Start();
--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -61,14 +61,6 @@
   const GatewayState& state() const { return state_; }
 
  private:
-  // What to do with one kind of objects that a peer sent.
-  struct ObjectHooks {
-    // Name of the kind for the log.
-    const char* name = "";
-    std::function<void(const std::vector<StoredObject>&)> on_list;
-    std::function<void(const StoredObject&)> on_change;
-  };
-
   GatewayNode(boost::asio::io_context& io,
               const WireCodec& codec,
               const GatewaySettings& settings,
@@ -104,19 +96,19 @@
   // The store confirmed that this node's copy is current.
   void OnStoreConfirmed(StateKind kind);
   void OnConfigObject(const StoredObject& object);
-  void OnServerObject(const StoredObject& object);
+  // Apply what the store or a peer says of the servers or of the nodes, unless
+  // it is older than this node's copy. Return whether it was applied.
+  bool OnServers(StoreUpdate update);
+  bool OnNodes(StoreUpdate update);
+  // Logs a list, and counts and logs an update that was passed over.
+  void LogUpdate(const char* kind,
+                 const StoreUpdate& update,
+                 bool taken,
+                 const StoreVersion& known);
   // Decodes a server's registration; logs one that can't be decoded.
   std::optional<ServerRecord> ReadServer(const StoredObject& object);
-  void OnServerList(const std::vector<StoredObject>& objects);
-  // Logs the revision of a list of the store beside the version that `mirror`
-  // has before the list is applied.
-  void LogList(const char* kind,
-               size_t objects,
-               uint64_t revision,
-               const StoreMirror& mirror);
   // Registers this node anew if the store has lost its registration.
   void OnNodeList(const std::vector<StoredObject>& objects);
-  void OnNodeObject(const StoredObject& object);
   // Adds a node to the known ones if its registration can be read.
   void AddNode(const StoredObject& object);
   // Whether this is the registration of this node, with its present address. An
@@ -151,24 +143,19 @@
   void FetchNewer(PeerState state, TimePoint now);
   // Whether a peer's copy is newer than this node's.
   bool IsNewer(PeerState state, const NodeState& peer) const;
-  // Whether a peer's servers are the same as this node's.
-  bool HasSameServers(const NodeState& peer) const;
   // Returns whom to ask for newer state now; empty if no peer has had any for
   // long enough.
   std::vector<Address> PeersToAsk(PeerState state, TimePoint now);
-  // Returns the target of the call to a peer.
-  std::string FetchTarget(PeerState state) const;
+  // Returns the version of this node's copy; nothing for the configuration.
+  StoreVersion KnownVersion(PeerState state) const;
   // Returns the relays of this node's failure domain with newer state.
   std::vector<Address> RelaysWithNewer(PeerState state, TimePoint now) const;
-  // Apply what was fetched from a peer if it is newer than what this node has.
-  // Return whether it was.
-  bool OnPeerState(PeerState state, const std::string& body);
+  // Applies what a peer answered that was asked for what is newer than `since`.
+  // Returns whether it was newer.
+  bool OnPeerState(PeerState state,
+                   const std::string& body,
+                   const StoreVersion& since);
   bool OnPeerConfig(const std::string& content);
-  bool OnPeerObjects(const std::string& encoded,
-                     StoreMirror& mirror,
-                     const ObjectHooks& hooks);
-  bool OnPeerServers(const std::string& encoded);
-  bool OnPeerNodes(const std::string& encoded);
 
   // Answers the cloud's readiness check.
   ServiceAnswer AnswerReady(const HttpHead& head) const;
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -73,10 +73,11 @@
       state_.freshness.Report(StateKind::kConfig, boot_now);
   heartbeat.servers_confirmed =
       state_.freshness.Report(StateKind::kServers, boot_now);
-  heartbeat.servers_version = server_mirror_.version();
-  heartbeat.servers_digest = server_mirror_.digest();
-  heartbeat.servers_changed = server_mirror_.changed();
-  heartbeat.nodes_changed = node_mirror_.changed();
+  const MirrorState servers = server_mirror_.state();
+  heartbeat.servers_version = servers.version;
+  heartbeat.servers_digest = servers.digest;
+  heartbeat.servers_changed = servers.changed;
+  heartbeat.nodes_changed = node_mirror_.state().changed;
   heartbeat.store_reachability = store_reachability_.Report(now);
 }
 
@@ -100,14 +101,14 @@
     state_.freshness.OnPeerReport(StateKind::kConfig,
                                   *heartbeat.config_confirmed, now);
   }
-  const NodeState peer{.servers_version = heartbeat.servers_version,
-                       .servers_digest = heartbeat.servers_digest,
-                       .servers_changed = heartbeat.servers_changed};
+  const MirrorState servers{.version = heartbeat.servers_version,
+                            .changed = heartbeat.servers_changed,
+                            .digest = heartbeat.servers_digest};
   if (server_mirror_.version().revision == 0 ||
-      IsNewer(PeerState::kServers, peer)) {
+      server_mirror_.IsBehind(servers)) {
     return;
   }
-  server_mirror_.OnConfirmed(heartbeat.servers_version);
+  server_mirror_.ConfirmBy(servers);
   if (heartbeat.servers_confirmed) {
     state_.freshness.OnPeerReport(StateKind::kServers,
                                   *heartbeat.servers_confirmed, now);
@@ -154,18 +155,12 @@
   }
 }
 
-bool GatewayNode::HasSameServers(const NodeState& peer) const {
-  return peer.servers_digest ? *peer.servers_digest == server_mirror_.digest()
-                             : server_mirror_.version() >= peer.servers_changed;
-}
-
 bool GatewayNode::IsNewer(PeerState state, const NodeState& peer) const {
   switch (state) {
     case PeerState::kConfig:
       return peer.config_version > ConfigVersion();
     case PeerState::kServers:
-      return peer.servers_version > server_mirror_.version() &&
-             !HasSameServers(peer);
+      return server_mirror_.IsBehind(peer.servers);
     case PeerState::kNodes:
       return peer.nodes_changed > node_mirror_.version();
   }
@@ -196,9 +191,12 @@
   if (peers.empty()) {
     return;
   }
-  fetcher_.Fetch(state, peers, FetchTarget(state),
-                 [this, state](const std::string& body) {
-                   return OnPeerState(state, body);
+  const StoreVersion since = KnownVersion(state);
+  fetcher_.Fetch(state, peers,
+                 state == PeerState::kConfig ? std::string(ToName(state))
+                                             : ListTarget(state, since),
+                 [this, state, since](const std::string& body) {
+                   return OnPeerState(state, body, since);
                  });
 }
 
@@ -224,32 +222,38 @@
   return now - *behind_since >= delay ? peers : std::vector<Address>();
 }
 
-std::string GatewayNode::FetchTarget(PeerState state) const {
+StoreVersion GatewayNode::KnownVersion(PeerState state) const {
   switch (state) {
     case PeerState::kConfig:
       break;
     case PeerState::kServers:
-      return ListTarget(state, server_mirror_.version());
+      return server_mirror_.version();
     case PeerState::kNodes:
-      return ListTarget(state, node_mirror_.version());
+      return node_mirror_.version();
   }
-  return std::string(ToName(state));
+  return {};
 }
 
 uint64_t GatewayNode::ConfigVersion() const {
   return state_.config == nullptr ? 0 : state_.config->version();
 }
 
-bool GatewayNode::OnPeerState(PeerState state, const std::string& body) {
-  switch (state) {
-    case PeerState::kConfig:
-      return OnPeerConfig(body);
-    case PeerState::kServers:
-      return OnPeerServers(body);
-    case PeerState::kNodes:
-      return OnPeerNodes(body);
+bool GatewayNode::OnPeerState(PeerState state,
+                              const std::string& body,
+                              const StoreVersion& since) {
+  if (state == PeerState::kConfig) {
+    return OnPeerConfig(body);
   }
-  return false;
+  auto update = StoreMirror::Decode(body, since);
+  if (!update) {
+    state_.log.Write(LogLine(ToName(GatewayEvent::kPeerChanged))
+                         .With("passed_over", ToName(state))
+                         .With(update.error()),
+                     GatewayEvent::kPeerChanged);
+    return false;
+  }
+  return state == PeerState::kServers ? OnServers(std::move(update.value()))
+                                      : OnNodes(std::move(update.value()));
 }
 
 bool GatewayNode::OnPeerConfig(const std::string& content) {
@@ -258,47 +262,6 @@
   return state_.config != before;
 }
 
-bool GatewayNode::OnPeerObjects(const std::string& encoded,
-                                StoreMirror& mirror,
-                                const ObjectHooks& hooks) {
-  const auto update = mirror.ReadNewer(encoded);
-  if (!update || !update.value()) {
-    state_.log.Write(
-        LogLine(ToName(GatewayEvent::kPeerChanged))
-            .With("passed_over", hooks.name)
-            .With("why", update ? "not newer" : update.error().detail())
-            .With("epoch", mirror.version().epoch)
-            .With("revision", mirror.version().revision),
-        GatewayEvent::kPeerChanged);
-    return false;
-  }
-  if (update.value()->complete) {
-    hooks.on_list(update.value()->objects);
-  } else {
-    for (const StoredObject& object : update.value()->objects) {
-      hooks.on_change(object);
-    }
-  }
-  mirror.OnConfirmed(update.value()->version);
-  return true;
-}
-
-bool GatewayNode::OnPeerServers(const std::string& encoded) {
-  return OnPeerObjects(
-      encoded, server_mirror_,
-      {.name = "servers",
-       .on_list = [this](const auto& all) { OnServerList(all); },
-       .on_change = [this](const auto& one) { OnServerObject(one); }});
-}
-
-bool GatewayNode::OnPeerNodes(const std::string& encoded) {
-  return OnPeerObjects(
-      encoded, node_mirror_,
-      {.name = "nodes",
-       .on_list = [this](const auto& all) { OnNodeList(all); },
-       .on_change = [this](const auto& one) { OnNodeObject(one); }});
-}
-
 ServiceAnswer GatewayNode::AnswerPeer(const HttpHead& head) const {
   if (head.target == ToName(PeerState::kConfig) && !config_content_.empty()) {
     return {.body = config_content_};
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -1,6 +1,7 @@
 // The part of GatewayNode that follows the configuration, the servers and the
 // nodes in the store, and registers this node there.
 
+#include <map>
 #include <nlohmann/json.hpp>
 
 #include "qh_core/text/bounded_json.h"
@@ -156,56 +157,101 @@
   return std::move(server.value());
 }
 
-void GatewayNode::OnServerObject(const StoredObject& object) {
+bool GatewayNode::OnServers(StoreUpdate update) {
+  std::map<std::string, ServerRecord> servers;
+  for (StoredObject& object : update.objects) {
+    if (object.removed) {
+      continue;
+    }
+    if (auto server = ReadServer(object)) {
+      servers.insert_or_assign(object.name, std::move(*server));
+    } else {
+      object.removed = true;
+    }
+  }
+  const bool is_list = !update.since;
+  if (is_list) {
+    std::erase_if(update.objects, [](const auto& one) { return one.removed; });
+  }
+  const StoreVersion known = server_mirror_.version();
+  const auto taken = server_mirror_.Take(update);
+  LogUpdate("servers", update, taken.has_value(), known);
+  if (!taken) {
+    return false;
+  }
   const TimePoint now = MonotonicNow();
-  const auto server = object.removed ? std::nullopt : ReadServer(object);
-  if (!server) {
-    server_mirror_.OnRemoved(object.name);
-    state_.directory.OnRemoved(ServerId(object.name),
-                               store_reachability_.KeepsMissingServers(now),
-                               now);
-    return;
+  const bool keep_missing = store_reachability_.KeepsMissingServers(now);
+  if (is_list) {
+    std::vector<ServerRecord> all;
+    for (const auto& [name, server] : servers) {
+      all.push_back(server);
+    }
+    state_.directory.OnList(all, keep_missing, now);
+    state_.servers_listed = true;
+    UpdateReadiness();
+    return true;
   }
-  server_mirror_.OnObject(object);
-  state_.directory.OnServer(*server, now);
+  for (const StoredObject& change : taken->objects) {
+    if (change.removed) {
+      state_.directory.OnRemoved(ServerId(change.name), keep_missing, now);
+    } else {
+      state_.directory.OnServer(servers.at(change.name), now);
+    }
+  }
+  return true;
 }
 
-void GatewayNode::OnServerList(const std::vector<StoredObject>& objects) {
-  std::vector<ServerRecord> servers;
-  std::vector<StoredObject> readable;
-  for (const StoredObject& object : objects) {
-    if (auto server = ReadServer(object)) {
-      servers.push_back(std::move(*server));
-      readable.push_back(object);
+bool GatewayNode::OnNodes(StoreUpdate update) {
+  const StoreVersion known = node_mirror_.version();
+  const auto taken = node_mirror_.Take(update);
+  LogUpdate("nodes", update, taken.has_value(), known);
+  if (!taken) {
+    return false;
+  }
+  if (!taken->since) {
+    OnNodeList(taken->objects);
+    return true;
+  }
+  for (const StoredObject& change : taken->objects) {
+    verdict_archive_.OnChange(change);
+    if (!change.removed) {
+      AddNode(change);
     }
   }
-  server_mirror_.OnList(readable);
-  const TimePoint now = MonotonicNow();
-  state_.directory.OnList(servers, store_reachability_.KeepsMissingServers(now),
-                          now);
-  state_.servers_listed = true;
-  UpdateReadiness();
+  return true;
 }
 
-void GatewayNode::LogList(const char* kind,
-                          size_t objects,
-                          uint64_t revision,
-                          const StoreMirror& mirror) {
-  const StoreVersion listed{state_.store_epoch.current(), revision};
-  state_.log.Write(LogLine(ToName(GatewayEvent::kStoreListed))
+void GatewayNode::LogUpdate(const char* kind,
+                            const StoreUpdate& update,
+                            bool taken,
+                            const StoreVersion& known) {
+  const bool is_list = !update.since;
+  // The watch often reports what peers have told before.
+  if (update.source == UpdateSource::kStore && !is_list) {
+    return;
+  }
+  if (!taken) {
+    state_.metrics.Count({.name = "gateway_updates_passed_over_total",
+                          .request_class = kind,
+                          .reason = std::string(ToName(update.source))});
+  }
+  if (taken && !is_list) {
+    return;
+  }
+  state_.log.Write(LogLine(ToName(GatewayEvent::kStateListed))
                        .With("kind", kind)
-                       .With("objects", objects)
-                       .With("epoch", listed.epoch)
-                       .With("revision", revision)
-                       .With("known_epoch", mirror.version().epoch)
-                       .With("known_revision", mirror.version().revision)
-                       .With("older", listed < mirror.version()),
-                   GatewayEvent::kStoreListed);
+                       .With("from", ToName(update.source))
+                       .With("outcome", taken ? "taken" : "passed over, older")
+                       .With("objects", update.objects.size())
+                       .With("epoch", update.version.epoch)
+                       .With("revision", update.version.revision)
+                       .With("known_epoch", known.epoch)
+                       .With("known_revision", known.revision),
+                   GatewayEvent::kStateListed);
 }
 
 void GatewayNode::OnNodeList(const std::vector<StoredObject>& objects) {
   nodes_listed_at_ = nodes_listed_at_.value_or(MonotonicNow());
-  node_mirror_.OnList(objects);
   verdict_archive_.OnList(objects);
   bool listed = false;
   for (const StoredObject& object : objects) {
@@ -234,8 +280,8 @@
   store_reachability_.OnRestored(now);
   state_.directory.OnStoreRestored(now);
   // From now on no list of an earlier epoch is accepted from a peer.
-  server_mirror_.OnConfirmed({.epoch = epoch});
-  node_mirror_.OnConfirmed({.epoch = epoch});
+  server_mirror_.Discard(epoch);
+  node_mirror_.Discard(epoch);
   for (StoreWatcher* watcher : Watchers()) {
     watcher->OnStoreRestored();
   }
@@ -245,16 +291,6 @@
   }
 }
 
-void GatewayNode::OnNodeObject(const StoredObject& object) {
-  verdict_archive_.OnChange(object);
-  if (object.removed) {
-    node_mirror_.OnRemoved(object.name);
-    return;
-  }
-  node_mirror_.OnObject(object);
-  AddNode(object);
-}
-
 bool GatewayNode::IsOwnRegistration(const StoredObject& object) const {
   if (object.name != state_.settings.node.value()) {
     return false;
--- a/modules/qh_gateway/control/peer_exchange.cpp
+++ b/modules/qh_gateway/control/peer_exchange.cpp
@@ -301,9 +301,9 @@
                       .draining = heartbeat.draining,
                       .follows_store = heartbeat.follows_store,
                       .config_version = heartbeat.config_version,
-                      .servers_version = heartbeat.servers_version,
-                      .servers_digest = heartbeat.servers_digest,
-                      .servers_changed = heartbeat.servers_changed,
+                      .servers = {.version = heartbeat.servers_version,
+                                  .changed = heartbeat.servers_changed,
+                                  .digest = heartbeat.servers_digest},
                       .nodes_changed = heartbeat.nodes_changed},
                      now);
   ranking_.OnAlive(heartbeat.node, now);
--- a/modules/qh_gateway/control/rollout_control.cpp
+++ b/modules/qh_gateway/control/rollout_control.cpp
@@ -66,6 +66,16 @@
   return rollout;
 }
 
+void RolloutControl::OnUpdate(const StoreUpdate& update) {
+  if (!update.since) {
+    OnList(update.objects);
+    return;
+  }
+  for (const StoredObject& object : update.objects) {
+    OnChange(object);
+  }
+}
+
 void RolloutControl::OnList(const std::vector<StoredObject>& objects) {
   std::vector<StoredRollout> rollouts;
   contents_.clear();
--- a/modules/qh_gateway/control/rollout_control.h
+++ b/modules/qh_gateway/control/rollout_control.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "qh_gateway/control/store_connection.h"
+#include "qh_gateway/decisions/store/store_mirror.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 
 namespace qh {
@@ -25,9 +26,8 @@
   // `state` has to outlive this object.
   explicit RolloutControl(GatewayState& state);
 
-  // All orders in the store, or one that was added, changed or removed.
-  void OnList(const std::vector<StoredObject>& objects);
-  void OnChange(const StoredObject& object);
+  // All orders in the store, or those that were added, changed or removed.
+  void OnUpdate(const StoreUpdate& update);
   // Evaluates the rollouts and logs their steps; writes a status that is due if
   // this node `may_write`, that is holds the lease with time left for a call.
   // `known_nodes` includes this one; `uptime` is that of the process.
@@ -41,6 +41,8 @@
   void Stop();
 
  private:
+  void OnList(const std::vector<StoredObject>& objects);
+  void OnChange(const StoredObject& object);
   // Decodes an object; logs one whose order or status can't be read.
   StoredRollout Read(const StoredObject& object);
   // Reads the object anew, and writes the status that it then needs.
--- a/modules/qh_gateway/control/store_watcher.cpp
+++ b/modules/qh_gateway/control/store_watcher.cpp
@@ -37,6 +37,7 @@
       connection_(io, store, protocol, epoch, budget),
       check_connection_(io, store, protocol, epoch, budget),
       protocol_(protocol),
+      epoch_(epoch),
       kind_(std::move(kind)),
       rng_(seed),
       hooks_(std::move(hooks)) {}
@@ -102,24 +103,32 @@
   }
   just_started_ = false;
   OnSuccess();
-  revision_ = list_revision_;
-  hooks_.on_list(listed_objects_, revision_);
-  listed_objects_.clear();
-  hooks_.on_confirmed(revision_);
+  Report({.objects = std::exchange(listed_objects_, {}),
+          .version = {epoch_.current(), list_revision_}});
   Watch();
 }
 
+void StoreWatcher::Report(StoreUpdate update) {
+  const StoreVersion known = hooks_.on_update(update);
+  // The owner's version may be of an epoch that the store has not stated yet.
+  revision_ = known.epoch == update.version.epoch ? known.revision
+                                                  : update.version.revision;
+  hooks_.on_confirmed();
+}
+
 void StoreWatcher::Watch() {
   watching_ = true;
   const Duration wait = hooks_.watch_wait();
   connection_.Send(protocol_.watch(kind_, revision_, wait),
                    wait + kWatchTimeoutSlack,
-                   [this](const CallReply& reply) { OnWatchReply(reply); });
+                   [this, since = revision_](const CallReply& reply) {
+                     OnWatchReply(reply, since);
+                   });
 }
 
-void StoreWatcher::OnWatchReply(const CallReply& reply) {
+void StoreWatcher::OnWatchReply(const CallReply& reply, uint64_t since) {
   watching_ = false;
-  if (!ApplyChanges(reply)) {
+  if (!ApplyChanges(reply, since)) {
     return;
   }
   RunAfter(hooks_.batch_delay(), [this] { Watch(); });
@@ -130,25 +139,28 @@
     return;
   }
   checking_ = true;
-  check_connection_.Send(
-      protocol_.watch(kind_, revision_, kCheckWait), kCheckTimeout,
-      [this](const CallReply& reply) { OnCheckReply(reply); });
+  check_connection_.Send(protocol_.watch(kind_, revision_, kCheckWait),
+                         kCheckTimeout,
+                         [this, since = revision_](const CallReply& reply) {
+                           OnCheckReply(reply, since);
+                         });
 }
 
-void StoreWatcher::OnCheckReply(const CallReply& reply) {
+void StoreWatcher::OnCheckReply(const CallReply& reply, uint64_t since) {
   checking_ = false;
   // The watch was answered meanwhile.
   if (!watching_) {
     return;
   }
-  const auto changes = ApplyChanges(reply);
+  const auto changes = ApplyChanges(reply, since);
   if (changes && *changes > 0) {
     ResetConnections();
     RunAfter(hooks_.batch_delay(), [this] { Watch(); });
   }
 }
 
-std::optional<size_t> StoreWatcher::ApplyChanges(const CallReply& reply) {
+std::optional<size_t> StoreWatcher::ApplyChanges(const CallReply& reply,
+                                                 uint64_t since) {
   if (reply.outcome == HttpCallOutcome::kAnswered &&
       reply.status == kHistoryExpired) {
     revision_ = 0;
@@ -167,16 +179,14 @@
   }
   OnSuccess();
   const ObjectPage& page = events.value();
-  // Changes that are known by other means must not be undone by older ones.
-  const bool is_known =
-      hooks_.known_revision && page.revision <= hooks_.known_revision();
-  if (!is_known) {
-    for (const StoredObject& object : page.objects) {
-      hooks_.on_change(object);
-    }
-  }
-  revision_ = std::max(revision_, page.revision);
-  hooks_.on_confirmed(revision_);
+  if (page.revision <= revision_) {
+    hooks_.on_confirmed();
+    return 0;
+  }
+  const uint64_t epoch = epoch_.current();
+  Report({.objects = page.objects,
+          .version = {epoch, page.revision},
+          .since = StoreVersion{epoch, since}});
   return page.objects.size();
 }
 
--- a/modules/qh_gateway/control/store_watcher.h
+++ b/modules/qh_gateway/control/store_watcher.h
@@ -3,6 +3,9 @@
 // because the store may have dropped changes that the failed watch missed from
 // its history, and after the store was restored from an older copy.
 //
+// An answer may arrive after the owner has learned of a later state from peers.
+// The owner decides by the answer's version, and tells where to go on.
+//
 // An open watch that hangs looks like one without changes. Check asks the store
 // on another connection, so that the owner need not wait until the watch times
 // out.
@@ -20,6 +23,7 @@
 
 #include "qh_core/random/rng.h"
 #include "qh_gateway/control/store_connection.h"
+#include "qh_gateway/decisions/store/store_mirror.h"
 #include "qh_gateway/model/stored_object.h"
 
 namespace qh {
@@ -43,14 +47,13 @@
   static constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(600);
 
   struct Hooks {
-    // Receives all objects of the kind and the store's revision that they
-    // reflect, after each complete list.
-    std::function<void(const std::vector<StoredObject>&, uint64_t revision)>
-        on_list;
-    // Receives one added, changed or removed object.
-    std::function<void(const StoredObject&)> on_change;
-    // The objects reported so far are the state of the store at `revision`.
-    std::function<void(uint64_t revision)> on_confirmed;
+    // Receives all objects of the kind, or the changes since what an earlier
+    // answer said, with the version of the store that the answer reflects. The
+    // owner may know more by then. Returns the version that the owner knows
+    // after the update; the next watch begins there.
+    std::function<StoreVersion(const StoreUpdate& update)> on_update;
+    // The store had nothing newer than what the owner knows now.
+    std::function<void()> on_confirmed;
     // A call succeeded or failed. Not called when the store has dropped the
     // history asked for.
     std::function<void(bool succeeded)> on_call;
@@ -65,10 +68,6 @@
     // from there reports what has changed since. Later lists are never old: the
     // store may have dropped the changes since an old one from its history.
     bool list_may_be_old = false;
-    // Returns the revision up to which the objects are known already, also from
-    // peers. The changes in a reply that does not reach beyond are left out.
-    // May be empty.
-    std::function<uint64_t()> known_revision;
     // Returns the delay before the next watch call. Changes that happen in the
     // meantime arrive in one call.
     std::function<Duration()> batch_delay;
@@ -99,7 +98,7 @@
   void OnStoreRestored();
 
   const std::string& kind() const { return kind_; }
-  // The store's revision of the objects reported so far; zero before the first
+  // The revision after which changes are asked for; zero before the first
   // complete list and after the store has dropped the history since.
   uint64_t revision() const { return revision_; }
 
@@ -107,13 +106,16 @@
   // Requests the page of the list after the name `after`; empty for the first.
   void ListPage(const std::string& after);
   void OnListReply(const CallReply& reply);
+  // Reports an answer of the store to the owner.
+  void Report(StoreUpdate update);
   // Waits for changes after revision_.
   void Watch();
-  void OnWatchReply(const CallReply& reply);
-  void OnCheckReply(const CallReply& reply);
-  // Applies the changes in a reply to a watch call. Returns how many there
-  // were, or nullopt after a failure, which it has handled.
-  std::optional<size_t> ApplyChanges(const CallReply& reply);
+  void OnWatchReply(const CallReply& reply, uint64_t since);
+  void OnCheckReply(const CallReply& reply, uint64_t since);
+  // Applies the changes in a reply to a watch call from `since`. Returns how
+  // many there were that had not been reported, or nullopt after a failure,
+  // which it has handled.
+  std::optional<size_t> ApplyChanges(const CallReply& reply, uint64_t since);
   // Drops the open calls.
   void ResetConnections();
   void OnFailure(const std::string& reason);
@@ -127,6 +129,7 @@
   StoreConnection connection_;
   StoreConnection check_connection_;
   const StoreProtocol& protocol_;
+  const StoreEpoch& epoch_;
   std::string kind_;
   Rng rng_;
   Hooks hooks_;
--- a/modules/qh_gateway/decisions/nodes/node_table.cpp
+++ b/modules/qh_gateway/decisions/nodes/node_table.cpp
@@ -86,9 +86,7 @@
   }
   const NodeState& known = found->second.state;
   state.follows_store = known.follows_store;
-  state.servers_version = known.servers_version;
-  state.servers_digest = known.servers_digest;
-  state.servers_changed = known.servers_changed;
+  state.servers = known.servers;
   state.nodes_changed = known.nodes_changed;
   Update(found->second, state, now);
 }
--- a/modules/qh_gateway/decisions/nodes/node_table.h
+++ b/modules/qh_gateway/decisions/nodes/node_table.h
@@ -14,6 +14,7 @@
 #include "qh_core/address/address.h"
 #include "qh_core/ids/ids.h"
 #include "qh_core/time/time.h"
+#include "qh_gateway/decisions/store/store_mirror.h"
 #include "qh_gateway/model/stored_object.h"
 
 namespace qh {
@@ -29,12 +30,9 @@
   bool follows_store = false;
   // Version of the configuration that the node uses.
   uint64_t config_version = 0;
-  // The version of the store up to which the node knows the backend servers,
-  // the digest of these, and the versions at which its lists of servers and of
-  // nodes last changed.
-  StoreVersion servers_version;
-  std::optional<uint64_t> servers_digest;
-  StoreVersion servers_changed;
+  // What the node knows of the backend servers.
+  MirrorState servers;
+  // The version at which its list of the nodes last changed.
   StoreVersion nodes_changed;
 };
 
--- a/modules/qh_gateway/decisions/store/store_mirror.cpp
+++ b/modules/qh_gateway/decisions/store/store_mirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "qh_core/hash/hash.h"
 
@@ -27,37 +28,77 @@
 
 }  // namespace
 
-void StoreMirror::OnList(const std::vector<StoredObject>& objects) {
+bool StoreMirror::LeadsOn(const StoreUpdate& update) const {
+  if (!update.since) {
+    return update.source == UpdateSource::kStore ? update.version >= version_
+                                                 : update.version > version_;
+  }
+  // Revisions of two epochs don't compare.
+  return version_.revision > 0 && update.since->epoch == version_.epoch &&
+         update.version.epoch == version_.epoch && *update.since <= version_ &&
+         update.version > version_;
+}
+
+std::optional<StoreUpdate> StoreMirror::Take(StoreUpdate update) {
+  if (!LeadsOn(update)) {
+    return std::nullopt;
+  }
+  if (!update.since) {
+    Replace(update.objects, update.version);
+    return update;
+  }
+  KeepEffective(update.objects);
+  version_ = update.version;
+  for (const StoredObject& change : update.objects) {
+    Apply(change);
+    Remember(change);
+    changed_ = version_;
+  }
+  return update;
+}
+
+void StoreMirror::Replace(const std::vector<StoredObject>& objects,
+                          const StoreVersion& version) {
+  const bool had_earlier =
+      version_.revision > 0 && version_.epoch == version.epoch;
+  const uint64_t digest_before = digest_;
   contents_.clear();
   digest_ = 0;
-  unconfirmed_.clear();
-  listed_ = true;
   for (const StoredObject& object : objects) {
-    contents_[object.name] = object.content;
+    Apply(object);
   }
-  for (const auto& [name, content] : contents_) {
-    digest_ ^= DigestOf(name, content);
+  version_ = version;
+  if (had_earlier && digest_ == digest_before) {
+    return;
   }
+  changed_ = version_;
+  changes_.clear();
+  changes_since_ = version_;
 }
 
-void StoreMirror::OnObject(const StoredObject& object) {
-  const auto [entry, added] = contents_.try_emplace(object.name);
-  if (!added) {
-    digest_ ^= DigestOf(object.name, entry->second);
+void StoreMirror::Apply(const StoredObject& change) {
+  const auto known = contents_.find(change.name);
+  if (known != contents_.end()) {
+    digest_ ^= DigestOf(change.name, known->second);
+    contents_.erase(known);
+  }
+  if (!change.removed) {
+    digest_ ^= DigestOf(change.name, change.content);
+    contents_[change.name] = change.content;
   }
-  entry->second = object.content;
-  digest_ ^= DigestOf(object.name, object.content);
-  unconfirmed_.push_back(object);
 }
 
-void StoreMirror::OnRemoved(const std::string& name) {
-  const auto found = contents_.find(name);
-  if (found == contents_.end()) {
-    return;
+void StoreMirror::KeepEffective(std::vector<StoredObject>& changes) const {
+  std::set<std::string> changed_later;
+  std::vector<StoredObject> effective;
+  for (auto change = changes.rbegin(); change != changes.rend(); ++change) {
+    const bool is_last = changed_later.insert(change->name).second;
+    if (is_last && !Holds(*change)) {
+      effective.push_back(std::move(*change));
+    }
   }
-  digest_ ^= DigestOf(name, found->second);
-  contents_.erase(found);
-  unconfirmed_.push_back({.name = name, .removed = true});
+  std::reverse(effective.begin(), effective.end());
+  changes = std::move(effective);
 }
 
 bool StoreMirror::Holds(const StoredObject& change) const {
@@ -67,40 +108,51 @@
              : found != contents_.end() && found->second == change.content;
 }
 
-void StoreMirror::OnConfirmed(const StoreVersion& version) {
-  version_ = std::max(version_, version);
-  if (listed_ || !unconfirmed_.empty()) {
-    changed_ = version_;
-  }
-  if (std::exchange(listed_, false)) {
-    changes_.clear();
-    changes_since_ = version_;
-  }
-  for (StoredObject& object : std::exchange(unconfirmed_, {})) {
-    AddChange(std::move(object));
-  }
-}
-
-void StoreMirror::AddChange(StoredObject object) {
-  changes_.push_back({version_, std::move(object)});
+void StoreMirror::Remember(StoredObject change) {
+  changes_.push_back({version_, std::move(change)});
   if (changes_.size() <= kMaxChanges) {
     return;
   }
-  // Changes that were confirmed together are kept or dropped together.
-  changes_since_ = changes_.front().confirmed;
-  while (!changes_.empty() && changes_.front().confirmed <= changes_since_) {
+  // Changes that arrived together are kept or dropped together.
+  changes_since_ = changes_.front().version;
+  while (!changes_.empty() && changes_.front().version <= changes_since_) {
     changes_.pop_front();
   }
 }
 
+void StoreMirror::Discard(uint64_t epoch) {
+  *this = StoreMirror();
+  version_.epoch = epoch;
+}
+
+bool StoreMirror::HoldsSameAs(const MirrorState& peer) const {
+  return peer.digest ? *peer.digest == digest_ : version_ >= peer.changed;
+}
+
+bool StoreMirror::IsBehind(const MirrorState& peer) const {
+  const bool knows_none = version_.revision == 0;
+  return peer.version.revision > 0 && peer.version > version_ &&
+         (knows_none || !HoldsSameAs(peer));
+}
+
+void StoreMirror::ConfirmBy(const MirrorState& peer) {
+  const bool is_later = version_.revision > 0 &&
+                        peer.version.epoch == version_.epoch &&
+                        peer.version > version_;
+  if (is_later && HoldsSameAs(peer)) {
+    version_ = peer.version;
+  }
+}
+
 std::string StoreMirror::EncodeSince(const StoreVersion& version) const {
-  const bool complete = version < changes_since_;
+  const bool complete =
+      version.epoch != version_.epoch || version < changes_since_;
   Json objects = Json::object();
   if (complete) {
     objects = contents_;
   }
   for (const Change& change : changes_) {
-    if (!complete && change.confirmed > version) {
+    if (!complete && change.version > version) {
       objects[change.object.name] =
           change.object.removed ? Json() : Json(change.object.content);
     }
@@ -112,8 +164,8 @@
       .dump();
 }
 
-Result<std::optional<MirrorUpdate>> StoreMirror::ReadNewer(
-    const std::string& encoded) const {
+Result<StoreUpdate> StoreMirror::Decode(const std::string& encoded,
+                                        const StoreVersion& since) {
   const Json json = Json::parse(encoded, nullptr, false);
   if (!json.is_object() || !json.contains(kObjects) ||
       !json[kObjects].is_object() || !IsNumber(json, kRevision) ||
@@ -122,12 +174,15 @@
     return Error(ErrorKind::kPeerMalformed,
                  "a peer's objects lack their version or are no object");
   }
-  MirrorUpdate update;
+  StoreUpdate update{.source = UpdateSource::kPeer};
   update.version = {.epoch = json[kEpoch].get<uint64_t>(),
                     .revision = json[kRevision].get<uint64_t>()};
-  update.complete = json[kComplete].get<bool>();
+  const bool complete = json[kComplete].get<bool>();
+  if (!complete) {
+    update.since = since;
+  }
   for (const auto& [name, content] : json[kObjects].items()) {
-    const bool removed = !update.complete && content.is_null();
+    const bool removed = !complete && content.is_null();
     if (!content.is_string() && !removed) {
       return Error(ErrorKind::kPeerMalformed,
                    "a peer's object \"" + name + "\" is not a string");
@@ -137,14 +192,7 @@
          .content = removed ? std::string() : content.get<std::string>(),
          .removed = removed});
   }
-  if (update.version <= version_) {
-    return std::optional<MirrorUpdate>();
-  }
-  if (!update.complete) {
-    std::erase_if(update.objects,
-                  [this](const auto& change) { return Holds(change); });
-  }
-  return std::optional(std::move(update));
+  return update;
 }
 
 }  // namespace qh
--- a/modules/qh_gateway/decisions/store/store_mirror.h
+++ b/modules/qh_gateway/decisions/store/store_mirror.h
@@ -1,11 +1,12 @@
-// One kind of the store's objects as last read, with the latest changes, in a
-// form that nodes send to peers. Peers use it that can't reach the store, and
-// in a large deployment all that leave the reading to their relays.
+// One kind of the store's objects as this node knows them, with the version of
+// the store that they are the state of. Nodes send it to peers that can't reach
+// the store, and in a large deployment to all that leave the reading to their
+// relays.
 //
-// A node accepts a peer's objects only if they are newer than its own: they may
-// arrive after the store has answered the node again. Changes that such an
-// outdated copy reverted would be lost, as the store's watch does not report
-// them again.
+// What the store or a peer says may arrive late: a list that was held up on its
+// way describes an older state than the changes that a peer has told of
+// meanwhile. Therefore objects and version change together or not at all, in
+// Take alone, and by version, whoever sent the update and whenever it arrives.
 
 #ifndef QH_GATEWAY_DECISIONS_STORE_STORE_MIRROR_H_
 #define QH_GATEWAY_DECISIONS_STORE_STORE_MIRROR_H_
@@ -18,18 +19,38 @@
 #include <vector>
 
 #include "qh_core/errors/result.h"
+#include "qh_core/text/enum_table.h"
 #include "qh_gateway/model/stored_object.h"
 
 namespace qh {
 
-// What a peer sent of its mirror.
-struct MirrorUpdate {
-  // The version up to which the peer's objects are complete.
-  StoreVersion version;
-  // Whether `objects` are all of the peer's objects; otherwise they are the
-  // changes since the version that was asked for.
-  bool complete = false;
+// Who sent an update.
+enum class UpdateSource { kStore, kPeer };
+
+template <>
+inline constexpr EnumName<UpdateSource> kEnumNames<UpdateSource>[] = {
+    {UpdateSource::kStore, "store"},
+    {UpdateSource::kPeer, "peer"},
+};
+
+// Objects of one kind, and the state of the store that they lead to.
+struct StoreUpdate {
+  UpdateSource source = UpdateSource::kStore;
+  // Without `since` all objects at `version`, otherwise the changes between the
+  // two, in order.
   std::vector<StoredObject> objects;
+  StoreVersion version;
+  std::optional<StoreVersion> since;
+};
+
+// What a node tells its peers of its mirror.
+struct MirrorState {
+  StoreVersion version;
+  // The version at which the objects last changed.
+  StoreVersion changed;
+  // Sums up names and contents of all objects; nullopt from nodes of an earlier
+  // version.
+  std::optional<uint64_t> digest;
 };
 
 class StoreMirror {
@@ -37,57 +58,64 @@
   // Changes kept for peers that ask for them; with more, they get all objects.
   static constexpr size_t kMaxChanges = 512;
 
-  // A complete list, from the store or from a peer, replaces the objects.
-  void OnList(const std::vector<StoredObject>& objects);
-  // An object was added or changed.
-  void OnObject(const StoredObject& object);
-  // An object was removed or became unreadable.
-  void OnRemoved(const std::string& name);
-  // The objects are complete up to `version` of the store. Earlier versions are
-  // ignored.
-  void OnConfirmed(const StoreVersion& version);
-
-  // The version of the store up to which the objects are complete; its revision
-  // is zero at first.
+  // Applies `update` and moves on to its version. Returns what was applied: a
+  // list as it is, of changes only those that make a difference, at most one
+  // for each object. Returns nullopt, and changes nothing, if the mirror is
+  // there or further already, or does not reach back to where the changes
+  // begin. A list of the store's own may replace objects of the same version:
+  // if they differ, the mirror's are wrong.
+  [[nodiscard]] std::optional<StoreUpdate> Take(StoreUpdate update);
+  // Takes over the version of a peer that holds the same objects.
+  void ConfirmBy(const MirrorState& peer);
+  // Discards all objects. From then on only lists of `epoch` or a later one are
+  // taken.
+  void Discard(uint64_t epoch);
+
+  // The version of the store whose state the objects are. Its revision is zero
+  // while nothing is known; otherwise the version never decreases.
   const StoreVersion& version() const { return version_; }
-  // The version that was confirmed after the last change of an object.
-  const StoreVersion& changed() const { return changed_; }
-  // Sums up names and contents of all objects. Two mirrors with equal digests
-  // hold the same, whatever their versions.
-  uint64_t digest() const { return digest_; }
+  MirrorState state() const { return {version_, changed_, digest_}; }
+  // Whether a peer holds other objects, of a later version.
+  bool IsBehind(const MirrorState& peer) const;
 
   // Encodes the changes since `version` for a peer, or all objects if the
   // changes are no longer known.
   std::string EncodeSince(const StoreVersion& version) const;
-  // Decodes what a peer encoded, without the changes that this mirror holds.
-  // Returns nullopt unless it is newer than this mirror. Fails with
-  // kPeerMalformed.
-  Result<std::optional<MirrorUpdate>> ReadNewer(
-      const std::string& encoded) const;
+  // Decodes what a peer encoded that was asked for the changes since `since`.
+  // Fails with kPeerMalformed.
+  static Result<StoreUpdate> Decode(const std::string& encoded,
+                                    const StoreVersion& since);
 
  private:
   struct Change {
-    StoreVersion confirmed;
+    StoreVersion version;
     StoredObject object;
   };
 
-  void AddChange(StoredObject object);
+  // Whether the update leads on from the mirror's version.
+  bool LeadsOn(const StoreUpdate& update) const;
   // Whether the mirror holds the state after this change already.
   bool Holds(const StoredObject& change) const;
+  // Whether a peer holds the same objects, whatever its version.
+  bool HoldsSameAs(const MirrorState& peer) const;
+  // Leaves out changes that others of the list make obsolete, and those that
+  // make no difference.
+  void KeepEffective(std::vector<StoredObject>& changes) const;
+  void Replace(const std::vector<StoredObject>& objects,
+               const StoreVersion& version);
+  void Apply(const StoredObject& change);
+  // Remembers a change at version_.
+  void Remember(StoredObject change);
 
-  // Content of each object, by name.
+  // Content of each object, by name: the state of the store at version_.
   std::map<std::string, std::string> contents_;
   // Always the sum of contents_.
   uint64_t digest_ = 0;
-  // Never decreases.
   StoreVersion version_;
   StoreVersion changed_;
-  // Changes confirmed after changes_since_, oldest first.
+  // What led from the state at changes_since_ to contents_, oldest first.
   std::deque<Change> changes_;
   StoreVersion changes_since_;
-  // Changes that are not confirmed yet, and whether a list is among them.
-  std::vector<StoredObject> unconfirmed_;
-  bool listed_ = false;
 };
 
 }  // namespace qh
--- a/tests/qh_gateway/deployment_fixture.cpp
+++ b/tests/qh_gateway/deployment_fixture.cpp
@@ -47,12 +47,7 @@
     PutServer(server, false);
   }
   for (size_t node = 0; node < nodes; ++node) {
-    const GatewaySettings settings = SettingsOf(node);
-    nodes_.push_back(
-        std::move(GatewayNode::Create(io, codec, settings, [settings] {
-                    return settings;
-                  }).value()));
-    nodes_.back()->Start();
+    AddNode();
   }
   const auto started = [&] {
     return AllOf([&](size_t node) {
@@ -68,6 +63,15 @@
   }
 }
 
+void DeploymentFixture::AddNode() {
+  const GatewaySettings settings = SettingsOf(nodes_.size());
+  nodes_.push_back(
+      std::move(GatewayNode::Create(io, codec, settings, [settings] {
+                  return settings;
+                }).value()));
+  nodes_.back()->Start();
+}
+
 void DeploymentFixture::TellVerdict(size_t node, const CrashVerdict& verdict) {
   Tell(node, {.crashes = {.made = MonotonicNow(), .verdicts = {verdict}}});
 }
@@ -118,11 +122,15 @@
   store.Remove("servers", ServerName(server));
 }
 
+bool DeploymentFixture::KnowsGone(size_t node, size_t server) const {
+  const ServerRecord* record =
+      StateOf(node).directory.Find(ServerId(ServerName(server)));
+  return record == nullptr || record->draining;
+}
+
 bool DeploymentFixture::KnowsDrained(size_t node, size_t servers) const {
   for (size_t server = 0; server < servers; ++server) {
-    const ServerRecord* record =
-        StateOf(node).directory.Find(ServerId(ServerName(server)));
-    if (record != nullptr && !record->draining) {
+    if (!KnowsGone(node, server)) {
       return false;
     }
   }
--- a/tests/qh_gateway/deployment_fixture.h
+++ b/tests/qh_gateway/deployment_fixture.h
@@ -26,6 +26,9 @@
   // too long.
   void StartNodes(size_t nodes, size_t domains, size_t servers);
 
+  // Starts one more node.
+  void AddNode();
+
   // Changes the settings of the nodes that are started from now on; may be
   // empty.
   std::function<void(GatewaySettings&)> adjust_settings;
@@ -46,6 +49,8 @@
   }
   // The failure domain of `node` as a number.
   size_t DomainOf(size_t node) const { return node % domains_; }
+  // Whether `node` knows that `server` takes no requests any more.
+  bool KnowsGone(size_t node, size_t server) const;
   // Whether `node` knows that none of the first `servers` servers takes
   // requests any more.
   bool KnowsDrained(size_t node, size_t servers) const;
--- a/tests/qh_gateway/fake_object_store.cpp
+++ b/tests/qh_gateway/fake_object_store.cpp
@@ -16,6 +16,7 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
+constexpr int kExpired = 410;
 constexpr int kTooManyRequests = 429;
 
 // Returns the number after "`name`=" in a target, or zero.
@@ -114,8 +115,11 @@
     if (fault == ObjectStoreFault::kHang) {
       return;
     }
+    delays_answer_ = fault == ObjectStoreFault::kDelay;
     if (fault == ObjectStoreFault::kRefuse) {
       Answer({.status = kTooManyRequests});
+    } else if (fault == ObjectStoreFault::kExpire) {
+      Answer({.status = kExpired});
     } else if (call_.method != "GET") {
       Answer(store_.Write(call_, body));
     } else if (call_.is_watch) {
@@ -155,6 +159,15 @@
         "HTTP/1.1 " + std::to_string(reply.status) +
         " Said\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
         body;
+    if (std::exchange(delays_answer_, false)) {
+      store_.delayed_.emplace_back(
+          [self = shared_from_this(), text] { self->Send(text); });
+      return;
+    }
+    Send(text);
+  }
+
+  void Send(const std::string& text) {
     boost::system::error_code ignored;
     boost::asio::write(socket_, boost::asio::buffer(text), ignored);
     if (!parser_.Next()) {
@@ -172,6 +185,8 @@
   ObjectStoreCall call_;
   bool watching_ = false;
   uint64_t watched_revision_ = 0;
+  // Whether the answer to call_ is to be held back.
+  bool delays_answer_ = false;
 };
 
 FakeObjectStore::FakeObjectStore(boost::asio::io_context& io) : io_(io) {}
@@ -231,6 +246,12 @@
   AnswerWatches(change.kind);
 }
 
+void FakeObjectStore::SendDelayed() {
+  for (const auto& send : std::exchange(delayed_, {})) {
+    send();
+  }
+}
+
 void FakeObjectStore::AnswerWatches(const std::string& kind) {
   for (const auto& connection : std::vector(connections_)) {
     if (const auto open = connection.lock()) {
--- a/tests/qh_gateway/fake_object_store.h
+++ b/tests/qh_gateway/fake_object_store.h
@@ -39,6 +39,10 @@
   kHang,
   // Answers 429.
   kRefuse,
+  // Answers 410: the changes asked for are no longer known.
+  kExpire,
+  // Answers with the state at the call's arrival, but only after SendDelayed.
+  kDelay,
 };
 
 class FakeObjectStore {
@@ -59,6 +63,11 @@
   // answered.
   void SetFault(Fault fault) { fault_ = std::move(fault); }
 
+  // Sends the answers that kDelay held back.
+  void SendDelayed();
+  // Whether an answer is held back.
+  bool has_delayed() const { return !delayed_.empty(); }
+
   // Returns the status of an object as JSON; "null" without one.
   std::string StatusOf(const std::string& kind, const std::string& name) const;
   // Returns the contents of all objects of `kind`, by name.
@@ -105,6 +114,7 @@
   std::vector<std::weak_ptr<Connection>> connections_;
   std::map<std::string, std::map<std::string, Object>> objects_;
   std::vector<Change> changes_;
+  std::vector<std::function<void()>> delayed_;
   uint64_t revision_ = 1;
   size_t calls_ = 0;
 };
--- a/tests/qh_gateway/robustness_test.cpp
+++ b/tests/qh_gateway/robustness_test.cpp
@@ -418,9 +418,8 @@
     count(codec.read_server({.name = "a", .content = Mutated(server, rng)}));
     count(codec.read_config(Mutated(config, rng)));
     StoreMirror mirror;
-    if (const auto read = mirror.ReadNewer(Mutated(update, rng));
-        read && read.value()) {
-      mirror.OnList(read.value()->objects);
+    if (const auto read = StoreMirror::Decode(Mutated(update, rng), {});
+        read && mirror.Take(read.value())) {
       mirror.EncodeSince({});
     }
     count(LeaseRecord::Decode(Mutated(lease, rng)));
--- a/tests/qh_gateway/store_mirror_test.cpp
+++ b/tests/qh_gateway/store_mirror_test.cpp
@@ -1,5 +1,5 @@
 // Objects of the store that nodes send to each other: what arrives late reverts
-// no change, and changes are as good as a whole list.
+// no change, whoever sent it, and changes are as good as a whole list.
 
 #include "qh_gateway/decisions/store/store_mirror.h"
 
@@ -12,27 +12,53 @@
   return {.name = name, .content = content};
 }
 
+StoredObject Removed(const std::string& name) {
+  return {.name = name, .removed = true};
+}
+
+StoreUpdate List(const StoreVersion& version,
+                 const std::vector<StoredObject>& objects) {
+  return {.objects = objects, .version = version};
+}
+
+StoreUpdate Changes(const StoreVersion& since,
+                    const StoreVersion& version,
+                    const std::vector<StoredObject>& objects) {
+  return {.objects = objects, .version = version, .since = since};
+}
+
 StoreMirror MakeMirror(uint64_t revision,
                        const std::vector<StoredObject>& objects) {
   StoreMirror mirror;
-  mirror.OnList(objects);
-  mirror.OnConfirmed({.epoch = 1, .revision = revision});
+  REQUIRE(mirror.Take(List({1, revision}, objects)));
   return mirror;
 }
 
+// What `node` takes of what `peer` tells it; nullopt if nothing.
+std::optional<StoreUpdate> TakeFrom(StoreMirror& node,
+                                    const StoreMirror& peer,
+                                    const StoreVersion& since) {
+  const auto update = StoreMirror::Decode(peer.EncodeSince(since), since);
+  REQUIRE(update);
+  return node.Take(update.value());
+}
+
+uint64_t DigestOf(const StoreMirror& mirror) {
+  return *mirror.state().digest;
+}
+
 }  // namespace
 
 TEST_CASE("a node that can't reach the store accepts a peer's newer snapshot") {
-  const StoreMirror node = MakeMirror(5, {Object("a", "ready")});
+  StoreMirror node = MakeMirror(5, {Object("a", "ready")});
   const StoreMirror peer =
       MakeMirror(9, {Object("a", "draining"), Object("b", "ready")});
-  const auto page = node.ReadNewer(peer.EncodeSince({}));
-  REQUIRE(page);
-  REQUIRE(page.value());
-  CHECK(page.value()->version.revision == 9);
-  REQUIRE(page.value()->objects.size() == 2);
-  CHECK(page.value()->objects[0].name == "a");
-  CHECK(page.value()->objects[0].content == "draining");
+  const auto taken = TakeFrom(node, peer, {});
+  REQUIRE(taken);
+  CHECK(node.version() == StoreVersion{1, 9});
+  REQUIRE(taken->objects.size() == 2);
+  CHECK(taken->objects[0].name == "a");
+  CHECK(taken->objects[0].content == "draining");
 }
 
 // Guards against reverting a server's drain: the store refused a node's calls
@@ -41,30 +67,94 @@
 // rsa-kursnetz-grown, scale-1 with seed 11342284408.
 TEST_CASE("a peer's snapshot older than the store's answer is ignored") {
   StoreMirror node = MakeMirror(5, {Object("a", "ready")});
-  const std::string in_flight =
-      MakeMirror(9, {Object("a", "ready")}).EncodeSince({});
-  node.OnList({Object("a", "draining")});
-  node.OnConfirmed({.epoch = 1, .revision = 12});
-  const auto page = node.ReadNewer(in_flight);
-  REQUIRE(page);
-  CHECK_FALSE(page.value());
-  CHECK_FALSE(node.ReadNewer(MakeMirror(12, {}).EncodeSince({})).value());
+  const StoreMirror in_flight = MakeMirror(9, {Object("a", "ready")});
+  REQUIRE(node.Take(List({1, 12}, {Object("a", "draining")})));
+  const uint64_t digest = DigestOf(node);
+  CHECK_FALSE(TakeFrom(node, in_flight, {}));
+  CHECK_FALSE(TakeFrom(node, MakeMirror(12, {}), {}));
+  CHECK(DigestOf(node) == digest);
+  CHECK(node.version() == StoreVersion{1, 12});
+}
+
+// Guards against requests to a server that is gone (DRAIN): a list of the store
+// that a cut held up replaced the objects of a peer's later copy, and the
+// mirror went on to claim the later version.
+TEST_CASE("a list that is older than the mirror changes nothing") {
+  StoreMirror node = MakeMirror(9, {Object("a", "ready")});
+  const uint64_t digest = DigestOf(node);
+  CHECK_FALSE(
+      node.Take(List({1, 8}, {Object("a", "ready"), Object("b", "ready")})));
+  CHECK(node.version() == StoreVersion{1, 9});
+  CHECK(DigestOf(node) == digest);
+  SECTION("what peers are told is the later state too") {
+    StoreMirror peer;
+    REQUIRE(TakeFrom(peer, node, {}));
+    CHECK(DigestOf(peer) == digest);
+  }
+  SECTION("nor does a later epoch's mirror go back to an earlier one") {
+    node.Discard(2);
+    CHECK_FALSE(node.Take(List({1, 900}, {Object("b", "ready")})));
+    CHECK(node.version() == StoreVersion{2, 0});
+    CHECK(node.Take(List({2, 3}, {Object("b", "ready")})));
+  }
+}
+
+TEST_CASE("changes are taken only if they lead on from the mirror's version") {
+  StoreMirror node = MakeMirror(9, {Object("a", "1")});
+  const uint64_t digest = DigestOf(node);
+  const std::vector<StoredObject> objects{Object("b", "1")};
+  const auto [since, version] = GENERATE(table<StoreVersion, StoreVersion>({
+      {{1, 5}, {1, 8}},    // known already
+      {{1, 5}, {1, 9}},    // likewise
+      {{1, 10}, {1, 12}},  // what changed between 9 and 10 is missing
+      {{0, 5}, {1, 12}},   // across epochs
+      {{2, 5}, {2, 12}},   // of another epoch
+  }));
+  CAPTURE(since.epoch, since.revision, version.epoch, version.revision);
+  CHECK_FALSE(node.Take(Changes(since, version, objects)));
+  CHECK(node.version() == StoreVersion{1, 9});
+  CHECK(DigestOf(node) == digest);
+  CHECK(node.Take(Changes({1, 5}, {1, 10}, objects)));
+  CHECK(node.version() == StoreVersion{1, 10});
+}
+
+TEST_CASE("changes mean nothing to a mirror that knows no objects") {
+  StoreMirror node;
+  CHECK_FALSE(node.Take(Changes({}, {0, 5}, {Object("a", "1")})));
+  CHECK(node.version() == StoreVersion());
+}
+
+// A watch may go back to before what peers have told: an object that was
+// changed and then removed must not come back in between.
+TEST_CASE("of several changes of an object only the last one counts") {
+  StoreMirror node = MakeMirror(9, {Object("b", "1")});
+  const auto taken = node.Take(
+      Changes({1, 5}, {1, 12},
+              {Object("a", "1"), Removed("a"), Object("b", "0"),
+               Object("b", "1"), Object("c", "1"), Object("c", "2")}));
+  REQUIRE(taken);
+  REQUIRE(taken->objects.size() == 1);
+  CHECK(taken->objects[0].name == "c");
+  CHECK(taken->objects[0].content == "2");
+}
+
+TEST_CASE("a list of the store replaces objects of its own version") {
+  StoreMirror node = MakeMirror(9, {Object("a", "wrong")});
+  const StoreMirror right = MakeMirror(9, {Object("a", "right")});
+  REQUIRE(node.Take(List({1, 9}, {Object("a", "right")})));
+  CHECK(DigestOf(node) == DigestOf(right));
 }
 
 TEST_CASE("a snapshot includes the changes reported by the watch") {
   StoreMirror node =
       MakeMirror(5, {Object("a", "ready"), Object("b", "ready")});
-  node.OnObject(Object("a", "draining"));
-  node.OnRemoved("b");
-  node.OnConfirmed({.epoch = 1, .revision = 7});
-  // A list that was read before the changes does not lower the revision.
-  node.OnConfirmed({.epoch = 1, .revision = 6});
-  CHECK(node.version().revision == 7);
-  const auto page = StoreMirror().ReadNewer(node.EncodeSince({}));
-  REQUIRE(page);
-  REQUIRE(page.value());
-  REQUIRE(page.value()->objects.size() == 1);
-  CHECK(page.value()->objects[0].content == "draining");
+  REQUIRE(node.Take(
+      Changes({1, 5}, {1, 7}, {Object("a", "draining"), Removed("b")})));
+  StoreMirror peer;
+  const auto taken = TakeFrom(peer, node, {});
+  REQUIRE(taken);
+  REQUIRE(taken->objects.size() == 1);
+  CHECK(taken->objects[0].content == "draining");
 }
 
 TEST_CASE("a peer that asks for changes gets only these") {
@@ -72,47 +162,75 @@
       MakeMirror(5, {Object("a", "ready"), Object("b", "ready")});
   StoreMirror node;
   const auto read = [&] {
-    const auto update = node.ReadNewer(relay.EncodeSince(node.version()));
-    REQUIRE(update);
-    REQUIRE(update.value());
-    return *update.value();
+    const auto taken = TakeFrom(node, relay, node.version());
+    REQUIRE(taken);
+    return *taken;
   };
-  const auto first = read();
-  CHECK(first.complete);
-  node.OnList(first.objects);
-  node.OnConfirmed(first.version);
-
-  relay.OnObject(Object("a", "draining"));
-  relay.OnRemoved("b");
-  relay.OnConfirmed({.epoch = 1, .revision = 7});
+  CHECK_FALSE(read().since);
+
+  REQUIRE(relay.Take(
+      Changes({1, 5}, {1, 7}, {Object("a", "draining"), Removed("b")})));
   const auto second = read();
-  CHECK_FALSE(second.complete);
+  CHECK(second.since);
   REQUIRE(second.objects.size() == 2);
   CHECK(second.objects[0].content == "draining");
   CHECK(second.objects[1].removed);
-  node.OnConfirmed(second.version);
-  CHECK_FALSE(node.ReadNewer(relay.EncodeSince(node.version())).value());
+  CHECK_FALSE(TakeFrom(node, relay, node.version()));
 
   SECTION("a version without a change is no reason to ask") {
-    relay.OnConfirmed({.epoch = 1, .revision = 90});
-    CHECK(relay.changed() == StoreVersion{1, 7});
+    REQUIRE(relay.Take(Changes({1, 7}, {1, 90}, {})));
+    CHECK(relay.state().changed == StoreVersion{1, 7});
+    CHECK_FALSE(node.IsBehind(relay.state()));
+    node.ConfirmBy(relay.state());
+    CHECK(node.version() == StoreVersion{1, 90});
+  }
+  SECTION("nor is a new list of the same objects") {
+    REQUIRE(relay.Take(List({1, 90}, {Object("a", "draining")})));
+    CHECK_FALSE(node.IsBehind(relay.state()));
+    CHECK(read().since);
   }
   SECTION("it gets all objects when the changes are no longer known") {
     for (size_t i = 0; i <= StoreMirror::kMaxChanges; ++i) {
-      relay.OnObject(Object("a", std::to_string(i)));
-      relay.OnConfirmed({.epoch = 1, .revision = 10 + i});
+      REQUIRE(relay.Take(Changes(relay.version(), {1, 10 + i},
+                                 {Object("a", std::to_string(i))})));
     }
-    CHECK(read().complete);
+    CHECK_FALSE(read().since);
   }
   SECTION("it gets all objects of a restored store") {
-    relay.OnList({Object("c", "ready")});
-    relay.OnConfirmed({.epoch = 2, .revision = 1});
+    relay.Discard(2);
+    CHECK_FALSE(node.IsBehind(relay.state()));
+    REQUIRE(relay.Take(List({2, 1}, {Object("c", "ready")})));
+    CHECK(node.IsBehind(relay.state()));
     const auto update = read();
-    CHECK(update.complete);
+    CHECK_FALSE(update.since);
     CHECK(update.objects.size() == 1);
   }
 }
 
+// The versions of two epochs don't compare, and a node that discarded its
+// objects has none to compare.
+TEST_CASE("only the same objects confirm a mirror, and only in its epoch") {
+  StoreMirror node = MakeMirror(5, {Object("a", "1")});
+  MirrorState peer = node.state();
+  const StoreVersion before = node.version();
+  SECTION("other objects") {
+    peer.version = {1, 9};
+    peer.digest = *peer.digest + 1;
+  }
+  SECTION("a later epoch") {
+    peer.version = {2, 9};
+  }
+  SECTION("an earlier version") {
+    peer.version = {1, 3};
+  }
+  node.ConfirmBy(peer);
+  CHECK(node.version() == before);
+  node.Discard(2);
+  node.ConfirmBy({.version = {2, 9}, .digest = DigestOf(node)});
+  CHECK(node.version() == StoreVersion{2, 0});
+  CHECK(node.IsBehind({.version = {2, 9}, .digest = DigestOf(node)}));
+}
+
 TEST_CASE("a malformed update is refused") {
   const std::string text = GENERATE(
       "", "[]", R"({"epoch":1,"revision":3,"complete":true})",
@@ -125,7 +243,7 @@
       R"({"epoch":1,"revision":"3","objects":{},"complete":true})",
       R"({"epoch":-1,"revision":3,"objects":{},"complete":true})");
   CAPTURE(text);
-  CHECK(StoreMirror().ReadNewer(text).error().kind() ==
+  CHECK(StoreMirror::Decode(text, {}).error().kind() ==
         ErrorKind::kPeerMalformed);
 }
 
@@ -134,28 +252,24 @@
 TEST_CASE("mirrors with the same objects have the same digest") {
   StoreMirror listed = MakeMirror(9, {Object("a", "2"), Object("c", "1")});
   StoreMirror watched = MakeMirror(5, {Object("a", "1"), Object("b", "1")});
-  CHECK(listed.digest() != watched.digest());
-  watched.OnObject(Object("a", "2"));
-  watched.OnRemoved("b");
-  watched.OnRemoved("b");
-  CHECK(listed.digest() != watched.digest());
-  watched.OnObject(Object("c", "1"));
-  watched.OnObject(Object("c", "1"));
-  CHECK(listed.digest() == watched.digest());
+  CHECK(DigestOf(listed) != DigestOf(watched));
+  REQUIRE(watched.Take(
+      Changes({1, 5}, {1, 6}, {Object("a", "2"), Removed("b"), Removed("b")})));
+  CHECK(DigestOf(listed) != DigestOf(watched));
+  REQUIRE(watched.Take(
+      Changes({1, 6}, {1, 7}, {Object("c", "1"), Object("c", "1")})));
+  CHECK(DigestOf(listed) == DigestOf(watched));
 }
 
 TEST_CASE("changes that a mirror holds already are left out of an update") {
   StoreMirror peer = MakeMirror(5, {Object("a", "1"), Object("b", "1")});
   StoreMirror node = peer;
-  peer.OnObject(Object("a", "2"));
-  peer.OnRemoved("b");
-  peer.OnConfirmed({.epoch = 1, .revision = 9});
-  node.OnObject(Object("a", "2"));
-  node.OnConfirmed({.epoch = 1, .revision = 7});
-  const auto update = node.ReadNewer(peer.EncodeSince({1, 5}));
-  REQUIRE(update.value());
-  REQUIRE(update.value()->objects.size() == 1);
-  CHECK(update.value()->objects[0].name == "b");
+  REQUIRE(peer.Take(Changes({1, 5}, {1, 9}, {Object("a", "2"), Removed("b")})));
+  REQUIRE(node.Take(Changes({1, 5}, {1, 7}, {Object("a", "2")})));
+  const auto taken = TakeFrom(node, peer, {1, 5});
+  REQUIRE(taken);
+  REQUIRE(taken->objects.size() == 1);
+  CHECK(taken->objects[0].name == "b");
 }
 
 }  // namespace qh
--- a/tests/qh_gateway/store_restore_test.cpp
+++ b/tests/qh_gateway/store_restore_test.cpp
@@ -50,21 +50,20 @@
     store = std::make_unique<ScriptedServer>(io, std::move(script));
     watcher = std::make_unique<StoreWatcher>(
         io, store->address(), codec.store, state.store_epoch, "k", 1,
-        StoreWatcher::Hooks{
-            .on_list =
-                [this](const std::vector<StoredObject>& objects, uint64_t) {
-                  revisions.push_back(objects.front().revision);
-                },
-            .on_change =
-                [this](const StoredObject& object) {
-                  revisions.push_back(object.revision);
-                },
-            .on_confirmed = [](uint64_t) {},
-            .on_call = [](bool) {},
-            .on_lost = [](const std::string&) {},
-            .on_regained = [] {},
-            .watch_wait = [] { return milliseconds(200); },
-            .batch_delay = [] { return milliseconds(20); }});
+        StoreWatcher::Hooks{.on_update =
+                                [this](const StoreUpdate& update) {
+                                  for (const StoredObject& object :
+                                       update.objects) {
+                                    revisions.push_back(object.revision);
+                                  }
+                                  return update.version;
+                                },
+                            .on_confirmed = [] {},
+                            .on_call = [](bool) {},
+                            .on_lost = [](const std::string&) {},
+                            .on_regained = [] {},
+                            .watch_wait = [] { return milliseconds(200); },
+                            .batch_delay = [] { return milliseconds(20); }});
     watcher->Start();
   }
 
@@ -189,12 +188,17 @@
 }
 
 TEST_CASE("a snapshot of a later epoch is newer than any of an earlier one") {
+  const auto list = [](const StoreVersion& version) {
+    return StoreUpdate{.version = version};
+  };
   StoreMirror node;
-  node.OnConfirmed({.epoch = 1, .revision = 900});
+  REQUIRE(node.Take(list({1, 900})));
   StoreMirror restored;
-  restored.OnConfirmed({.epoch = 2, .revision = 10});
-  CHECK(node.ReadNewer(restored.EncodeSince({})).value());
-  CHECK_FALSE(restored.ReadNewer(node.EncodeSince({})).value());
+  REQUIRE(restored.Take(list({2, 10})));
+  const std::string of_node = node.EncodeSince({});
+  const std::string of_restored = restored.EncodeSince({});
+  CHECK_FALSE(restored.Take(StoreMirror::Decode(of_node, {}).value()));
+  CHECK(node.Take(StoreMirror::Decode(of_restored, {}).value()));
 }
 
 }  // namespace qh
--- a/tests/qh_gateway/store_watcher_test.cpp
+++ b/tests/qh_gateway/store_watcher_test.cpp
@@ -31,17 +31,14 @@
     watcher = std::make_unique<StoreWatcher>(
         io, store->address(), codec.store, state.store_epoch, "k", 1,
         StoreWatcher::Hooks{
-            .on_list =
-                [this](const std::vector<StoredObject>& objects, uint64_t) {
-                  for (const StoredObject& object : objects) {
+            .on_update =
+                [this](const StoreUpdate& update) {
+                  for (const StoredObject& object : update.objects) {
                     revisions.push_back(object.revision);
                   }
+                  return known.value_or(update.version);
                 },
-            .on_change =
-                [this](const StoredObject& object) {
-                  revisions.push_back(object.revision);
-                },
-            .on_confirmed = [](uint64_t) {},
+            .on_confirmed = [] {},
             .on_call = [](bool) {},
             .on_lost = [this](const std::string&) { ++lost; },
             .on_regained = [this] { ++regained; },
@@ -54,6 +51,8 @@
   Duration batch_delay = std::chrono::milliseconds(20);
   std::unique_ptr<ScriptedServer> store;
   std::unique_ptr<StoreWatcher> watcher;
+  // What the owner claims to know after each update, if not the update itself.
+  std::optional<StoreVersion> known;
   // Revision of each reported object, in order.
   std::vector<uint64_t> revisions;
   int lost = 0;
