Gateway: a copy that differs from a peer's of the same version is read anew

Cause: nothing noticed a copy of the servers that was wrong. Heartbeats carry version and digest of each copy; two equal versions with different digests prove that one is wrong.

Nodes that follow the store list it; the others doubt their copy and take a whole one from a node that follows the store, also of the same version. Logged (copy_doubted) and counted (gateway_copies_in_doubt_total).

--- a/modules/qh_gateway/control/event_log.cpp
+++ b/modules/qh_gateway/control/event_log.cpp
@@ -11,6 +11,7 @@
     case GatewayEvent::kServerEjected:
     case GatewayEvent::kFeaturesBlocked:
     case GatewayEvent::kDependencyLost:
+    case GatewayEvent::kCopyDoubted:
     case GatewayEvent::kStoreRestored:
     case GatewayEvent::kStateAged:
     case GatewayEvent::kRequestFailed:
--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -82,6 +82,7 @@
       tick_timer_(io),
       register_timer_(io),
       accept_timer_(io),
+      server_copy_check_(Hash64(incarnation_, 2)),
       fetcher_(io, state_.log, state_.byte_budget) {
   state_.on_store_epoch = [this](uint64_t epoch, bool restored) {
     OnStoreEpoch(epoch, restored);
@@ -250,6 +251,7 @@
   peers_.OnTick(now, FollowsStore());
   UpdateRole(now);
   CheckOpenWatches();
+  ReadDoubtfulServers(now);
   FetchNewerState(now);
   verdict_archive_.OnTick(now, FollowsStore());
   deployment_record_.OnTick(now, WritesRecord(now));
--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -23,6 +23,7 @@
 #include "qh_gateway/control/rollout_control.h"
 #include "qh_gateway/control/store_watcher.h"
 #include "qh_gateway/control/verdict_archive.h"
+#include "qh_gateway/decisions/store/copy_check.h"
 #include "qh_gateway/decisions/store/store_mirror.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 #include "qh_net/http_service.h"
@@ -134,6 +135,9 @@
   // Notes that a peer whose state is no newer than this node's has confirmed
   // it.
   void ConfirmByPeer(const PeerHeartbeat& heartbeat);
+  // Reads the servers anew if this node's copy differs from a peer's of the
+  // same version.
+  void ReadDoubtfulServers(TimePoint now);
   // Starts or stops following the store, as the node's role requires.
   void UpdateRole(TimePoint now);
   void SetFollowing(bool following, TimePoint now);
@@ -146,8 +150,9 @@
   // Returns whom to ask for newer state now; empty if no peer has had any for
   // long enough.
   std::vector<Address> PeersToAsk(PeerState state, TimePoint now);
-  // Returns the version of this node's copy; nothing for the configuration.
-  StoreVersion KnownVersion(PeerState state) const;
+  // Returns the version since which a peer's changes are of use; zero for the
+  // configuration.
+  StoreVersion BaseOf(PeerState state) const;
   // Returns the relays of this node's failure domain with newer state.
   std::vector<Address> RelaysWithNewer(PeerState state, TimePoint now) const;
   // Applies what a peer answered that was asked for what is newer than `since`.
@@ -199,6 +204,7 @@
   // The servers and the nodes as last reported by the store or a peer.
   StoreMirror server_mirror_;
   StoreMirror node_mirror_;
+  CopyCheck server_copy_check_;
   // When this node last had to follow the store, and since when it has to
   // without a break.
   TimePoint following_needed_at_;
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -104,6 +104,12 @@
   const MirrorState servers{.version = heartbeat.servers_version,
                             .changed = heartbeat.servers_changed,
                             .digest = heartbeat.servers_digest};
+  // A node that copies from relays compares its copy with the store's readers
+  // alone: of two copies of copies nobody knows which one is wrong.
+  if (following_ || heartbeat.follows_store) {
+    server_copy_check_.OnPeer(heartbeat.node, servers, server_mirror_.state(),
+                              MonotonicNow());
+  }
   if (server_mirror_.version().revision == 0 ||
       server_mirror_.IsBehind(servers)) {
     return;
@@ -115,6 +121,27 @@
   }
 }
 
+void GatewayNode::ReadDoubtfulServers(TimePoint now) {
+  if (!server_copy_check_.TakeDue(following_, now)) {
+    return;
+  }
+  const MirrorState servers = server_mirror_.state();
+  state_.metrics.Count(
+      {.name = "gateway_copies_in_doubt_total", .request_class = "servers"});
+  state_.log.Write(LogLine(ToName(GatewayEvent::kCopyDoubted))
+                       .With("kind", "servers")
+                       .With("epoch", servers.version.epoch)
+                       .With("revision", servers.version.revision)
+                       .With("digest", *servers.digest)
+                       .With("read_from", following_ ? "store" : "peers"),
+                   GatewayEvent::kCopyDoubted);
+  if (following_) {
+    server_watcher_->ListAnew();
+  } else {
+    server_mirror_.Doubt();
+  }
+}
+
 void GatewayNode::UpdateRole(TimePoint now) {
   if (!nodes_listed_at_) {
     return;
@@ -160,7 +187,8 @@
     case PeerState::kConfig:
       return peer.config_version > ConfigVersion();
     case PeerState::kServers:
-      return server_mirror_.IsBehind(peer.servers);
+      return server_mirror_.IsBehind(peer.servers) &&
+             (!server_mirror_.is_in_doubt() || peer.follows_store);
     case PeerState::kNodes:
       return peer.nodes_changed > node_mirror_.version();
   }
@@ -191,7 +219,7 @@
   if (peers.empty()) {
     return;
   }
-  const StoreVersion since = KnownVersion(state);
+  const StoreVersion since = BaseOf(state);
   fetcher_.Fetch(state, peers,
                  state == PeerState::kConfig ? std::string(ToName(state))
                                              : ListTarget(state, since),
@@ -222,14 +250,14 @@
   return now - *behind_since >= delay ? peers : std::vector<Address>();
 }
 
-StoreVersion GatewayNode::KnownVersion(PeerState state) const {
+StoreVersion GatewayNode::BaseOf(PeerState state) const {
   switch (state) {
     case PeerState::kConfig:
       break;
     case PeerState::kServers:
-      return server_mirror_.version();
+      return server_mirror_.base();
     case PeerState::kNodes:
-      return node_mirror_.version();
+      return node_mirror_.base();
   }
   return {};
 }
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -283,7 +283,7 @@
   server_mirror_.Discard(epoch);
   node_mirror_.Discard(epoch);
   for (StoreWatcher* watcher : Watchers()) {
-    watcher->OnStoreRestored();
+    watcher->ListAnew();
   }
   if (!registered_) {
     register_connection_.Reset();
--- a/modules/qh_gateway/control/store_watcher.cpp
+++ b/modules/qh_gateway/control/store_watcher.cpp
@@ -61,7 +61,7 @@
   check_connection_.Reset();
 }
 
-void StoreWatcher::OnStoreRestored() {
+void StoreWatcher::ListAnew() {
   if (stopped_) {
     return;
   }
--- a/modules/qh_gateway/control/store_watcher.h
+++ b/modules/qh_gateway/control/store_watcher.h
@@ -93,9 +93,10 @@
   // that has not reported them by then is dropped and begins anew. Does nothing
   // unless a watch is open and not being checked already.
   void Check();
-  // The store was restored from an older copy: drops the open call, whose
-  // revision may have been given out again, and lists the kind anew.
-  void OnStoreRestored();
+  // Drops the open calls and lists the kind anew. After the store was restored
+  // from an older copy, the revision of an open call may have been given out
+  // again.
+  void ListAnew();
 
   const std::string& kind() const { return kind_; }
   // The revision after which changes are asked for; zero before the first
--- a/modules/qh_gateway/decisions/store/store_mirror.cpp
+++ b/modules/qh_gateway/decisions/store/store_mirror.cpp
@@ -28,13 +28,19 @@
 
 }  // namespace
 
+bool StoreMirror::IsSurpassedBy(const StoreVersion& version) const {
+  return is_in_doubt_ ? version >= version_ : version > version_;
+}
+
 bool StoreMirror::LeadsOn(const StoreUpdate& update) const {
   if (!update.since) {
-    return update.source == UpdateSource::kStore ? update.version >= version_
-                                                 : update.version > version_;
+    return update.source == UpdateSource::kStore
+               ? update.version >= version_
+               : IsSurpassedBy(update.version);
   }
   // Revisions of two epochs don't compare.
-  return version_.revision > 0 && update.since->epoch == version_.epoch &&
+  return !is_in_doubt_ && version_.revision > 0 &&
+         update.since->epoch == version_.epoch &&
          update.version.epoch == version_.epoch && *update.since <= version_ &&
          update.version > version_;
 }
@@ -68,6 +74,7 @@
     Apply(object);
   }
   version_ = version;
+  is_in_doubt_ = false;
   if (had_earlier && digest_ == digest_before) {
     return;
   }
@@ -131,7 +138,7 @@
 
 bool StoreMirror::IsBehind(const MirrorState& peer) const {
   const bool knows_none = version_.revision == 0;
-  return peer.version.revision > 0 && peer.version > version_ &&
+  return peer.version.revision > 0 && IsSurpassedBy(peer.version) &&
          (knows_none || !HoldsSameAs(peer));
 }
 
--- a/modules/qh_gateway/decisions/store/store_mirror.h
+++ b/modules/qh_gateway/decisions/store/store_mirror.h
@@ -70,12 +70,19 @@
   // Discards all objects. From then on only lists of `epoch` or a later one are
   // taken.
   void Discard(uint64_t epoch);
+  // The objects may be wrong: until a list is taken, no changes are, and a list
+  // of a peer may be of the mirror's own version.
+  void Doubt() { is_in_doubt_ = true; }
+  bool is_in_doubt() const { return is_in_doubt_; }
 
   // The version of the store whose state the objects are. Its revision is zero
   // while nothing is known; otherwise the version never decreases.
   const StoreVersion& version() const { return version_; }
+  // The version since which changes are of use; zero if a list is needed.
+  StoreVersion base() const { return is_in_doubt_ ? StoreVersion() : version_; }
   MirrorState state() const { return {version_, changed_, digest_}; }
-  // Whether a peer holds other objects, of a later version.
+  // Whether a peer holds other objects, of a later version; in doubt also of
+  // the same version.
   bool IsBehind(const MirrorState& peer) const;
 
   // Encodes the changes since `version` for a peer, or all objects if the
@@ -92,6 +99,8 @@
     StoredObject object;
   };
 
+  // Whether `version` is later than the mirror's, or equal if it is in doubt.
+  bool IsSurpassedBy(const StoreVersion& version) const;
   // Whether the update leads on from the mirror's version.
   bool LeadsOn(const StoreUpdate& update) const;
   // Whether the mirror holds the state after this change already.
@@ -113,6 +122,7 @@
   uint64_t digest_ = 0;
   StoreVersion version_;
   StoreVersion changed_;
+  bool is_in_doubt_ = false;
   // What led from the state at changes_since_ to contents_, oldest first.
   std::deque<Change> changes_;
   StoreVersion changes_since_;
--- a/tests/qh_gateway/fake_object_store.cpp
+++ b/tests/qh_gateway/fake_object_store.cpp
@@ -127,7 +127,7 @@
     } else if (!call_.name.empty()) {
       Answer(store_.Get(call_.kind, call_.name));
     } else {
-      Answer(store_.List(call_.kind));
+      Answer(store_.List(call_.kind, fault == ObjectStoreFault::kOmitFirst));
     }
   }
 
@@ -298,7 +298,8 @@
       .body = ObjectJson(name, object.revision, object.content, object.status)};
 }
 
-FakeObjectStore::Reply FakeObjectStore::List(const std::string& kind) const {
+FakeObjectStore::Reply FakeObjectStore::List(const std::string& kind,
+                                             bool omit_first) const {
   Json items = Json::array();
   if (const auto found = objects_.find(kind); found != objects_.end()) {
     for (const auto& [name, object] : found->second) {
@@ -306,6 +307,9 @@
           ObjectJson(name, object.revision, object.content, object.status));
     }
   }
+  if (omit_first && !items.empty()) {
+    items.erase(0);
+  }
   return {.status = kOk,
           .body = {{"items", items}, {"hasMore", false}, {"asOf", revision_}}};
 }
--- a/tests/qh_gateway/fake_object_store.h
+++ b/tests/qh_gateway/fake_object_store.h
@@ -41,6 +41,8 @@
   kRefuse,
   // Answers 410: the changes asked for are no longer known.
   kExpire,
+  // Answers a list without its first object.
+  kOmitFirst,
   // Answers with the state at the call's arrival, but only after SendDelayed.
   kDelay,
 };
@@ -99,7 +101,7 @@
 
   void Accept(size_t client);
   ObjectStoreFault FaultOf(const ObjectStoreCall& call) const;
-  Reply List(const std::string& kind) const;
+  Reply List(const std::string& kind, bool omit_first) const;
   Reply Get(const std::string& kind, const std::string& name) const;
   // Returns the changes of `kind` after `revision`.
   nlohmann::json ChangesAfter(const std::string& kind, uint64_t revision) const;
--- a/tests/qh_gateway/late_list_test.cpp
+++ b/tests/qh_gateway/late_list_test.cpp
@@ -33,15 +33,18 @@
     });
   }
   // A server leaves while a list that still has it is held up. Returns whether
-  // `node` learns of it from its peers.
-  bool LearnsFromPeers(size_t node) {
+  // all nodes learn of it, those that wait for the list from their peers.
+  bool AllLearnOfRemoval() {
     if (!TimeUntil([&] { return store.has_delayed(); }, kLimit)) {
       return false;
     }
     RemoveServer(kGone);
     return TimeUntil(
                [&] {
-                 return StateOf(node).servers_listed && KnowsGone(node, kGone);
+                 return AllOf([&](size_t node) {
+                   return StateOf(node).servers_listed &&
+                          KnowsGone(node, kGone);
+                 });
                },
                kLimit)
         .has_value();
@@ -81,7 +84,7 @@
   const size_t added = 4;
   DelayLists({added});
   AddNode();
-  REQUIRE(LearnsFromPeers(added));
+  REQUIRE(AllLearnOfRemoval());
   CHECK_FALSE(ServerReturns());
   CHECK(NextChangeIsKnown());
 }
@@ -103,7 +106,7 @@
   });
   // The node's open watch is answered, and the next one fails.
   PutServer(kServers, false);
-  REQUIRE(LearnsFromPeers(node));
+  REQUIRE(AllLearnOfRemoval());
   CHECK_FALSE(ServerReturns());
   CHECK(NextChangeIsKnown());
 }
@@ -127,7 +130,7 @@
                                         : ObjectStoreFault::kNone;
   });
   PutServer(kServers, false);
-  REQUIRE(LearnsFromPeers(*others.begin()));
+  REQUIRE(AllLearnOfRemoval());
   CHECK_FALSE(ServerReturns());
   CHECK(NextChangeIsKnown());
 }
--- a/tests/qh_gateway/store_mirror_test.cpp
+++ b/tests/qh_gateway/store_mirror_test.cpp
@@ -145,6 +145,22 @@
   CHECK(DigestOf(node) == DigestOf(right));
 }
 
+TEST_CASE("a mirror in doubt takes a list, even a peer's of its own version") {
+  StoreMirror node = MakeMirror(9, {Object("a", "wrong")});
+  const StoreMirror peer = MakeMirror(9, {Object("a", "right")});
+  CHECK_FALSE(node.IsBehind(peer.state()));
+  node.Doubt();
+  CHECK(node.IsBehind(peer.state()));
+  CHECK_FALSE(node.IsBehind(MakeMirror(8, {Object("a", "old")}).state()));
+  CHECK_FALSE(TakeFrom(node, MakeMirror(8, {Object("a", "old")}), {}));
+  CHECK_FALSE(node.Take(Changes({1, 9}, {1, 10}, {Object("b", "1")})));
+  CHECK(node.base() == StoreVersion());
+  REQUIRE(TakeFrom(node, peer, node.base()));
+  CHECK(DigestOf(node) == DigestOf(peer));
+  CHECK(node.base() == StoreVersion{1, 9});
+  CHECK_FALSE(node.IsBehind(MakeMirror(9, {}).state()));
+}
+
 TEST_CASE("a snapshot includes the changes reported by the watch") {
   StoreMirror node =
       MakeMirror(5, {Object("a", "ready"), Object("b", "ready")});
--- a/tests/qh_gateway/store_restore_test.cpp
+++ b/tests/qh_gateway/store_restore_test.cpp
@@ -44,7 +44,7 @@
     state.on_store_epoch = [this](uint64_t, bool restored) {
       if (restored) {
         ++restores;
-        watcher->OnStoreRestored();
+        watcher->ListAnew();
       }
     };
     store = std::make_unique<ScriptedServer>(io, std::move(script));
