Gateway: an answer confirms a copy as of the time its call was sent

Cause: a copy counted as confirmed at the moment at which an answer of the store arrived. An answer says what was so when it was made; one that was held up for a second made the copy a second too young, up to the call's timeout (1.5 s for a page of a list, the wait and 0.5 s more for a watch).

Change: StoreWatcher hands on when the call was sent, and StateFreshness starts the age there. So an older list that is passed over confirms the copy rightly: when it was asked for, the store had nothing newer than what the node knows now.

Test: "a late list confirms the copy as of when it was asked for" gave an age of 7.5 ms for an answer held up for 1 s on, and holds now (1 s or more).

--- a/modules/qh_gateway/control/gateway_node.cpp
+++ b/modules/qh_gateway/control/gateway_node.cpp
@@ -138,31 +138,36 @@
                        .With("domain", settings.failure_domain.value())
                        .With("callers", settings.caller_address.ToString()),
                    GatewayEvent::kStarted);
-  config_watcher_ = MakeWatcher(
-      codec_.config_kind,
-      {.on_update =
-           [this](const StoreUpdate& update) {
-             for (const StoredObject& object : update.objects) {
-               OnConfigObject(object);
-             }
-             return update.version;
-           },
-       .on_confirmed = [this] { OnStoreConfirmed(StateKind::kConfig); }});
+  config_watcher_ =
+      MakeWatcher(codec_.config_kind,
+                  {.on_update =
+                       [this](const StoreUpdate& update) {
+                         for (const StoredObject& object : update.objects) {
+                           OnConfigObject(object);
+                         }
+                         return update.version;
+                       },
+                   .on_confirmed =
+                       [this](TimePoint sent_at) {
+                         OnStoreConfirmed(StateKind::kConfig, sent_at);
+                       }});
   server_watcher_ = MakeWatcher(
-      codec_.server_kind,
-      {.on_update =
-           [this](const StoreUpdate& update) {
-             OnServers(update);
-             return server_mirror_.version();
-           },
-       .on_confirmed = [this] { OnStoreConfirmed(StateKind::kServers); }});
+      codec_.server_kind, {.on_update =
+                               [this](const StoreUpdate& update) {
+                                 OnServers(update);
+                                 return server_mirror_.version();
+                               },
+                           .on_confirmed =
+                               [this](TimePoint sent_at) {
+                                 OnStoreConfirmed(StateKind::kServers, sent_at);
+                               }});
   node_watcher_ =
       MakeWatcher(kGatewayNodeKind, {.on_update =
                                          [this](const StoreUpdate& update) {
                                            OnNodes(update);
                                            return node_mirror_.version();
                                          },
-                                     .on_confirmed = [] {},
+                                     .on_confirmed = [](TimePoint) {},
                                      .list_may_be_old = true});
   if (settings.rollout_bounds) {
     rollout_watcher_ = MakeWatcher(codec_.rollout_kind,
@@ -171,7 +176,7 @@
                                           rollout_control_.OnUpdate(update);
                                           return update.version;
                                         },
-                                    .on_confirmed = [] {}});
+                                    .on_confirmed = [](TimePoint) {}});
   }
   // The other nodes come first: they decide whether this one follows the store.
   node_watcher_->Start();
--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -94,8 +94,8 @@
   Duration WatchBatchDelay() const;
   void OnStoreLost(const std::string& kind, const std::string& reason);
   void OnStoreRegained(const std::string& kind);
-  // The store confirmed that this node's copy is current.
-  void OnStoreConfirmed(StateKind kind);
+  // The store confirmed that this node's copy was current at `sent_at`.
+  void OnStoreConfirmed(StateKind kind, TimePoint sent_at);
   void OnConfigObject(const StoredObject& object);
   // Apply what the store or a peer says of the servers or of the nodes, unless
   // it is older than this node's copy. Return whether it was applied.
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -121,8 +121,8 @@
                    GatewayEvent::kDependencyRegained);
 }
 
-void GatewayNode::OnStoreConfirmed(StateKind kind) {
-  state_.freshness.OnStoreAnswer(kind, BootNow());
+void GatewayNode::OnStoreConfirmed(StateKind kind, TimePoint sent_at) {
+  state_.freshness.OnStoreAnswer(kind, sent_at, BootNow());
   UpdateReadiness();
 }
 
--- a/modules/qh_gateway/control/store_watcher.cpp
+++ b/modules/qh_gateway/control/store_watcher.cpp
@@ -74,6 +74,7 @@
 void StoreWatcher::ListPage(const std::string& after) {
   if (after.empty()) {
     listed_objects_.clear();
+    list_sent_at_ = BootNow();
   }
   const bool may_be_old = hooks_.list_may_be_old && just_started_;
   connection_.Send(protocol_.list(kind_, after, may_be_old), kListTimeout,
@@ -104,31 +105,32 @@
   just_started_ = false;
   OnSuccess();
   Report({.objects = std::exchange(listed_objects_, {}),
-          .version = {epoch_.current(), list_revision_}});
+          .version = {epoch_.current(), list_revision_}},
+         list_sent_at_);
   Watch();
 }
 
-void StoreWatcher::Report(StoreUpdate update) {
+void StoreWatcher::Report(StoreUpdate update, TimePoint sent_at) {
   const StoreVersion known = hooks_.on_update(update);
   // The owner's version may be of an epoch that the store has not stated yet.
   revision_ = known.epoch == update.version.epoch ? known.revision
                                                   : update.version.revision;
-  hooks_.on_confirmed();
+  hooks_.on_confirmed(sent_at);
 }
 
 void StoreWatcher::Watch() {
   watching_ = true;
   const Duration wait = hooks_.watch_wait();
-  connection_.Send(protocol_.watch(kind_, revision_, wait),
-                   wait + kWatchTimeoutSlack,
-                   [this, since = revision_](const CallReply& reply) {
-                     OnWatchReply(reply, since);
-                   });
+  connection_.Send(
+      protocol_.watch(kind_, revision_, wait), wait + kWatchTimeoutSlack,
+      [this, call = WatchCall{revision_, BootNow()}](const CallReply& reply) {
+        OnWatchReply(reply, call);
+      });
 }
 
-void StoreWatcher::OnWatchReply(const CallReply& reply, uint64_t since) {
+void StoreWatcher::OnWatchReply(const CallReply& reply, const WatchCall& call) {
   watching_ = false;
-  if (!ApplyChanges(reply, since)) {
+  if (!ApplyChanges(reply, call)) {
     return;
   }
   RunAfter(hooks_.batch_delay(), [this] { Watch(); });
@@ -139,20 +141,20 @@
     return;
   }
   checking_ = true;
-  check_connection_.Send(protocol_.watch(kind_, revision_, kCheckWait),
-                         kCheckTimeout,
-                         [this, since = revision_](const CallReply& reply) {
-                           OnCheckReply(reply, since);
-                         });
+  check_connection_.Send(
+      protocol_.watch(kind_, revision_, kCheckWait), kCheckTimeout,
+      [this, call = WatchCall{revision_, BootNow()}](const CallReply& reply) {
+        OnCheckReply(reply, call);
+      });
 }
 
-void StoreWatcher::OnCheckReply(const CallReply& reply, uint64_t since) {
+void StoreWatcher::OnCheckReply(const CallReply& reply, const WatchCall& call) {
   checking_ = false;
   // The watch was answered meanwhile.
   if (!watching_) {
     return;
   }
-  const auto changes = ApplyChanges(reply, since);
+  const auto changes = ApplyChanges(reply, call);
   if (changes && *changes > 0) {
     ResetConnections();
     RunAfter(hooks_.batch_delay(), [this] { Watch(); });
@@ -160,7 +162,7 @@
 }
 
 std::optional<size_t> StoreWatcher::ApplyChanges(const CallReply& reply,
-                                                 uint64_t since) {
+                                                 const WatchCall& call) {
   if (reply.outcome == HttpCallOutcome::kAnswered &&
       reply.status == kHistoryExpired) {
     revision_ = 0;
@@ -180,13 +182,14 @@
   OnSuccess();
   const ObjectPage& page = events.value();
   if (page.revision <= revision_) {
-    hooks_.on_confirmed();
+    hooks_.on_confirmed(call.sent_at);
     return 0;
   }
   const uint64_t epoch = epoch_.current();
   Report({.objects = page.objects,
           .version = {epoch, page.revision},
-          .since = StoreVersion{epoch, since}});
+          .since = StoreVersion{epoch, call.since}},
+         call.sent_at);
   return page.objects.size();
 }
 
--- a/modules/qh_gateway/control/store_watcher.h
+++ b/modules/qh_gateway/control/store_watcher.h
@@ -52,8 +52,9 @@
     // owner may know more by then. Returns the version that the owner knows
     // after the update; the next watch begins there.
     std::function<StoreVersion(const StoreUpdate& update)> on_update;
-    // The store had nothing newer than what the owner knows now.
-    std::function<void()> on_confirmed;
+    // The store answered a call that was sent at `sent_at`, by BootNow: it had
+    // nothing newer then than what the owner knows now.
+    std::function<void(TimePoint sent_at)> on_confirmed;
     // A call succeeded or failed. Not called when the store has dropped the
     // history asked for.
     std::function<void(bool succeeded)> on_call;
@@ -104,19 +105,26 @@
   uint64_t revision() const { return revision_; }
 
  private:
+  // A call for the changes after a revision.
+  struct WatchCall {
+    uint64_t since = 0;
+    TimePoint sent_at;
+  };
+
   // Requests the page of the list after the name `after`; empty for the first.
   void ListPage(const std::string& after);
   void OnListReply(const CallReply& reply);
-  // Reports an answer of the store to the owner.
-  void Report(StoreUpdate update);
+  // Reports an answer to a call that was sent at `sent_at` to the owner.
+  void Report(StoreUpdate update, TimePoint sent_at);
   // Waits for changes after revision_.
   void Watch();
-  void OnWatchReply(const CallReply& reply, uint64_t since);
-  void OnCheckReply(const CallReply& reply, uint64_t since);
-  // Applies the changes in a reply to a watch call from `since`. Returns how
-  // many there were that had not been reported, or nullopt after a failure,
-  // which it has handled.
-  std::optional<size_t> ApplyChanges(const CallReply& reply, uint64_t since);
+  void OnWatchReply(const CallReply& reply, const WatchCall& call);
+  void OnCheckReply(const CallReply& reply, const WatchCall& call);
+  // Applies the changes in a reply to a watch call. Returns how many there were
+  // that had not been reported, or nullopt after a failure, which it has
+  // handled.
+  std::optional<size_t> ApplyChanges(const CallReply& reply,
+                                     const WatchCall& call);
   // Drops the open calls.
   void ResetConnections();
   void OnFailure(const std::string& reason);
@@ -136,8 +144,9 @@
   Hooks hooks_;
   // Objects of the pages read so far while a list is read; empty otherwise.
   std::vector<StoredObject> listed_objects_;
-  // Revision of the first page of that list.
+  // Revision of the first page of that list, and when the page was asked for.
   uint64_t list_revision_ = 0;
+  TimePoint list_sent_at_;
   uint64_t revision_ = 0;
   // Failed calls since the last success.
   uint32_t failures_ = 0;
--- a/modules/qh_gateway/decisions/store/state_freshness.cpp
+++ b/modules/qh_gateway/decisions/store/state_freshness.cpp
@@ -17,9 +17,14 @@
   EntryOf(StateKind::kServers).bound = bounds.servers;
 }
 
-void StateFreshness::OnStoreAnswer(StateKind kind, TimePoint now) {
-  OnPeerReport(
-      kind, {.origin = self_, .number = now.time_since_epoch().count()}, now);
+void StateFreshness::OnStoreAnswer(StateKind kind,
+                                   TimePoint sent_at,
+                                   TimePoint now) {
+  OnPeerReport(kind,
+               {.origin = self_,
+                .number = sent_at.time_since_epoch().count(),
+                .ago = now - sent_at},
+               now);
 }
 
 void StateFreshness::OnPeerReport(StateKind kind,
--- a/modules/qh_gateway/decisions/store/state_freshness.h
+++ b/modules/qh_gateway/decisions/store/state_freshness.h
@@ -61,8 +61,10 @@
   // `self` identifies this process in the reports for its peers.
   StateFreshness(std::string self, const Bounds& bounds);
 
-  // The store answered this node.
-  void OnStoreAnswer(StateKind kind, TimePoint now);
+  // The store answered a call of this node that was sent at `sent_at`: it had
+  // nothing newer then than what the node knows now. How long the answer was on
+  // its way is not known.
+  void OnStoreAnswer(StateKind kind, TimePoint sent_at, TimePoint now);
   // A peer reports an answer of the store. The caller has made sure that the
   // peer's copy is not newer than this node's.
   void OnPeerReport(StateKind kind,
--- a/tests/qh_gateway/late_list_test.cpp
+++ b/tests/qh_gateway/late_list_test.cpp
@@ -111,6 +111,29 @@
   CHECK(NextChangeIsKnown());
 }
 
+// Guards against a copy that counts as current because an answer arrived,
+// though the answer was on its way for long: the next check would come too
+// late.
+TEST_CASE_METHOD(LateListFixture,
+                 "a late list confirms the copy as of when it was asked for") {
+  const Duration delay = seconds(1);
+  StartNodes(1, 1, kServers);
+  DelayLists({0}, [](const ObjectStoreCall& call) {
+    return call.is_watch && call.kind == "servers" ? ObjectStoreFault::kRefuse
+                                                   : ObjectStoreFault::kNone;
+  });
+  PutServer(kServers, false);
+  REQUIRE(TimeUntil([&] { return store.has_delayed(); }, kLimit));
+  TimeUntil([] { return false; }, delay);
+  const StateFreshness& freshness = StateOf(0).freshness;
+  const int64_t number = freshness.Last(StateKind::kServers)->number;
+  store.SendDelayed();
+  REQUIRE(TimeUntil(
+      [&] { return freshness.Last(StateKind::kServers)->number != number; },
+      kLimit));
+  CHECK(*freshness.Age(StateKind::kServers, BootNow()) >= delay);
+}
+
 // A relay's copy becomes that of its whole failure domain. The relay is cut off
 // from the store, and the lists of those that take over are held up.
 TEST_CASE_METHOD(LateListFixture,
--- a/tests/qh_gateway/store_restore_test.cpp
+++ b/tests/qh_gateway/store_restore_test.cpp
@@ -58,7 +58,7 @@
                                   }
                                   return update.version;
                                 },
-                            .on_confirmed = [] {},
+                            .on_confirmed = [](TimePoint) {},
                             .on_call = [](bool) {},
                             .on_lost = [](const std::string&) {},
                             .on_regained = [] {},
--- a/tests/qh_gateway/store_watcher_test.cpp
+++ b/tests/qh_gateway/store_watcher_test.cpp
@@ -38,7 +38,7 @@
                   }
                   return known.value_or(update.version);
                 },
-            .on_confirmed = [] {},
+            .on_confirmed = [](TimePoint) {},
             .on_call = [](bool) {},
             .on_lost = [this](const std::string&) { ++lost; },
             .on_regained = [this] { ++regained; },
