Gateway: an answer of the store that arrives late undoes no roll-out's state

Cause: the orders of roll-outs are read by a watch, by a call before each write of a status, and from the reply to the write, on several connections, and each answer replaced what was known, whatever its revision. A list that was asked for before a write and arrived after it undid the status just written; one from before an order's withdrawal brought it back until the next watch.

Change: LatestObjects keeps each object at the latest version that any answer has shown, removals too; RolloutControl goes through it for lists, changes, own reads and own writes. An object found missing counts as removed only as of the version that was known when it was asked for.

--- a/modules/qh_gateway/control/rollout_control.cpp
+++ b/modules/qh_gateway/control/rollout_control.cpp
@@ -62,37 +62,44 @@
                                                  : rollout.mistake),
         GatewayEvent::kRolloutIgnored);
   }
-  contents_[object.name] = object.content;
   return rollout;
 }
 
 void RolloutControl::OnUpdate(const StoreUpdate& update) {
   if (!update.since) {
-    OnList(update.objects);
+    OnList(update);
     return;
   }
   for (const StoredObject& object : update.objects) {
-    OnChange(object);
+    if (object.removed) {
+      OnRemoved(object.name, {update.version.epoch, object.revision});
+    } else {
+      OnObject(object);
+    }
   }
 }
 
-void RolloutControl::OnList(const std::vector<StoredObject>& objects) {
+void RolloutControl::OnList(const StoreUpdate& list) {
+  objects_.TakeList(list.objects, list.version);
   std::vector<StoredRollout> rollouts;
-  contents_.clear();
-  for (const StoredObject& object : objects) {
+  for (const StoredObject& object : objects_.All()) {
     rollouts.push_back(Read(object));
   }
   state_.rollouts.OnList(rollouts, MonotonicNow());
 }
 
-void RolloutControl::OnChange(const StoredObject& object) {
-  if (object.removed) {
-    contents_.erase(object.name);
-    logged_.erase(object.name);
-    state_.rollouts.OnRemoved(object.name, MonotonicNow());
-    return;
+void RolloutControl::OnObject(const StoredObject& object) {
+  if (objects_.TakeObject(object, state_.store_epoch.current())) {
+    state_.rollouts.OnObject(Read(object), MonotonicNow());
+  }
+}
+
+void RolloutControl::OnRemoved(const std::string& name,
+                               const StoreVersion& version) {
+  if (objects_.TakeRemoval(name, version)) {
+    logged_.erase(name);
+    state_.rollouts.OnRemoved(name, MonotonicNow());
   }
-  state_.rollouts.OnObject(Read(object), MonotonicNow());
 }
 
 void RolloutControl::OnTick(size_t known_nodes,
@@ -132,15 +139,17 @@
   write_open_ = true;
   connection_.Send(
       state_.codec.store.get(state_.codec.rollout_kind, write.name),
-      kCallTimeout, [this, name = write.name](const CallReply& reply) {
-        OnRead(name, reply);
-      });
+      kCallTimeout,
+      [this, name = write.name, known = objects_.VersionOf(write.name)](
+          const CallReply& reply) { OnRead(name, known, reply); });
 }
 
-void RolloutControl::OnRead(const std::string& name, const CallReply& reply) {
+void RolloutControl::OnRead(const std::string& name,
+                            const StoreVersion& known,
+                            const CallReply& reply) {
   if (reply.outcome == HttpCallOutcome::kAnswered &&
       reply.status == kNotFound) {
-    OnChange({.name = name, .removed = true});
+    OnRemoved(name, known);
     EndWrite(true);
     return;
   }
@@ -152,9 +161,11 @@
     EndWrite(false);
     return;
   }
-  OnChange(object.value());
+  OnObject(object.value());
   const auto write = state_.rollouts.NextWrite(MonotonicNow());
-  if (!write || write->name != name || !may_write_ || stopped_) {
+  const StoredObject* latest = objects_.Find(name);
+  if (!write || write->name != name || latest == nullptr || !may_write_ ||
+      stopped_) {
     EndWrite(true);
     return;
   }
@@ -163,7 +174,7 @@
           state_.codec.rollout_kind,
           {.name = name,
            .revision = write->revision,
-           .content = contents_[name],
+           .content = latest->content,
            .status = state_.codec.write_rollout_status(write->status)}),
       kCallTimeout, [this, write = *write](const CallReply& sent) {
         OnWritten(write, sent);
@@ -187,7 +198,7 @@
     const auto object = state_.codec.store.read_object(reply.body);
     if (object && object.value().name == write.name &&
         object.value().status != "null") {
-      OnChange(object.value());
+      OnObject(object.value());
     }
   }
   EndWrite(succeeded);
--- a/modules/qh_gateway/control/rollout_control.h
+++ b/modules/qh_gateway/control/rollout_control.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "qh_gateway/control/store_connection.h"
+#include "qh_gateway/decisions/store/latest_objects.h"
 #include "qh_gateway/decisions/store/store_mirror.h"
 #include "qh_gateway/forwarding/gateway_state.h"
 
@@ -41,13 +42,17 @@
   void Stop();
 
  private:
-  void OnList(const std::vector<StoredObject>& objects);
-  void OnChange(const StoredObject& object);
+  void OnList(const StoreUpdate& list);
+  void OnObject(const StoredObject& object);
+  void OnRemoved(const std::string& name, const StoreVersion& version);
   // Decodes an object; logs one whose order or status can't be read.
   StoredRollout Read(const StoredObject& object);
   // Reads the object anew, and writes the status that it then needs.
   void StartWrite(const RolloutWrite& write);
-  void OnRead(const std::string& name, const CallReply& reply);
+  // `known` is the object's version when it was asked for.
+  void OnRead(const std::string& name,
+              const StoreVersion& known,
+              const CallReply& reply);
   void OnWritten(const RolloutWrite& write, const CallReply& reply);
   void EndWrite(bool succeeded);
 
@@ -57,8 +62,8 @@
   bool write_open_ = false;
   bool stopped_ = false;
   TimePoint no_write_before_;
-  // Content of the orders as last read; a write of the status repeats it.
-  std::map<std::string, std::string> contents_;
+  // The orders, as the watch, own reads and own writes have shown them.
+  LatestObjects objects_;
   // Revision of each object that was last logged as unreadable, by name.
   std::map<std::string, uint64_t> logged_;
 };
--- a/modules/qh_gateway/qh_gateway.h
+++ b/modules/qh_gateway/qh_gateway.h
@@ -74,6 +74,7 @@
 #include "qh_gateway/decisions/servers/server_departures.h"
 #include "qh_gateway/decisions/servers/server_directory.h"
 #include "qh_gateway/decisions/store/copy_check.h"
+#include "qh_gateway/decisions/store/latest_objects.h"
 #include "qh_gateway/decisions/store/state_freshness.h"
 #include "qh_gateway/decisions/store/store_epoch.h"
 #include "qh_gateway/decisions/store/store_mirror.h"
--- a/tests/qh_gateway/store_mirror_test.cpp
+++ b/tests/qh_gateway/store_mirror_test.cpp
@@ -118,6 +118,18 @@
   CHECK(node.version() == StoreVersion{1, 10});
 }
 
+// A list has the version of its first page. What a peer tells while the others
+// are read is later, also where a later page shows more.
+TEST_CASE("an update that arrives between two pages of a list counts") {
+  StoreMirror node = MakeMirror(4, {Object("a", "ready")});
+  const StoreMirror peer = MakeMirror(6, {Object("b", "ready")});
+  REQUIRE(TakeFrom(node, peer, {}));
+  CHECK_FALSE(node.Take(
+      List({1, 5}, {Object("a", "ready"), Object("b", "of revision 7")})));
+  CHECK(DigestOf(node) == DigestOf(peer));
+  REQUIRE(node.Take(Changes({1, 6}, {1, 7}, {Object("b", "of revision 7")})));
+}
+
 TEST_CASE("changes mean nothing to a mirror that knows no objects") {
   StoreMirror node;
   CHECK_FALSE(node.Take(Changes({}, {0, 5}, {Object("a", "1")})));
--- a/tests/qh_gateway/store_watcher_test.cpp
+++ b/tests/qh_gateway/store_watcher_test.cpp
@@ -36,6 +36,7 @@
                   for (const StoredObject& object : update.objects) {
                     revisions.push_back(object.revision);
                   }
+                  versions.push_back(update.version);
                   return known.value_or(update.version);
                 },
             .on_confirmed = [](TimePoint) {},
@@ -53,7 +54,8 @@
   std::unique_ptr<StoreWatcher> watcher;
   // What the owner claims to know after each update, if not the update itself.
   std::optional<StoreVersion> known;
-  // Revision of each reported object, in order.
+  // Version of each update, and revision of each reported object, in order.
+  std::vector<StoreVersion> versions;
   std::vector<uint64_t> revisions;
   int lost = 0;
   int regained = 0;
@@ -137,6 +139,39 @@
   CHECK(store->requests()[2].target.find("allowStale") == std::string::npos);
 }
 
+// The owner has learned of a later state from peers while the list was read.
+TEST_CASE_METHOD(Fixture, "the next watch begins where the owner is already") {
+  known = StoreVersion{0, 7};
+  Watch([](size_t call, const HttpHead&) {
+    return call == 0 ? ScriptedReply{.bytes = List(5, 3)}
+                     : ScriptedReply{.then = Then::kStall};
+  });
+  REQUIRE(RunUntil([&] { return store->requests().size() == 2; }));
+  CHECK(store->requests()[1].target.find("watch=7") != std::string::npos);
+  CHECK(watcher->revision() == 7);
+}
+
+// The pages of a list are read one after the other, and the store changes in
+// between. The list has the objects of its first page's revision or later ones.
+TEST_CASE_METHOD(Fixture, "a list of several pages is as old as its first") {
+  Watch([](size_t call, const HttpHead& head) {
+    if (IsWatch(head)) {
+      return ScriptedReply{.then = Then::kStall};
+    }
+    std::string page = call == 0 ? List(5, 3) : List(9, 8);
+    if (call == 0) {
+      const std::string last = "\"hasMore\":false";
+      const std::string more = "\"hasMore\": true";
+      page.replace(page.find(last), last.size(), more);
+    }
+    return ScriptedReply{.bytes = page};
+  });
+  REQUIRE(RunUntil([&] { return store->requests().size() == 3; }));
+  CHECK(revisions == std::vector<uint64_t>{3, 8});
+  CHECK(versions == std::vector<StoreVersion>{{0, 5}});
+  CHECK(store->requests()[2].target.find("watch=5") != std::string::npos);
+}
+
 TEST_CASE_METHOD(Fixture, "failing calls report the store as lost only once") {
   bool failing = true;
   Watch([&](size_t, const HttpHead&) {
