Gateway: what becomes of an update of the servers, in short functions

Cause: GatewayNode::OnServers decoded, took over, logged and applied in one function.

Change: ReadServers, ApplyServerList and ApplyServerChanges; no other change.

--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -11,6 +11,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -62,6 +63,8 @@
   const GatewayState& state() const { return state_; }
 
  private:
+  using ServersByName = std::map<std::string, ServerRecord>;
+
   GatewayNode(boost::asio::io_context& io,
               const WireCodec& codec,
               const GatewaySettings& settings,
@@ -97,10 +100,17 @@
   // The store confirmed that this node's copy was current at `sent_at`.
   void OnStoreConfirmed(StateKind kind, TimePoint sent_at);
   void OnConfigObject(const StoredObject& object);
+  // Decodes the servers of `update`. One that can't be read counts as removed.
+  ServersByName ReadServers(StoreUpdate& update);
   // Apply what the store or a peer says of the servers or of the nodes, unless
   // it is older than this node's copy. Return whether it was applied.
   bool OnServers(StoreUpdate update);
   bool OnNodes(StoreUpdate update);
+  // Tell the directory what was taken of an update; `servers` are those of the
+  // update.
+  void ApplyServerList(const ServersByName& servers);
+  void ApplyServerChanges(const std::vector<StoredObject>& changes,
+                          const ServersByName& servers);
   // Logs a list, and counts and logs an update that was passed over.
   void LogUpdate(const char* kind,
                  const StoreUpdate& update,
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -1,7 +1,6 @@
 // The part of GatewayNode that follows the configuration, the servers and the
 // nodes in the store, and registers this node there.
 
-#include <map>
 #include <nlohmann/json.hpp>
 
 #include "qh_core/text/bounded_json.h"
@@ -157,8 +156,8 @@
   return std::move(server.value());
 }
 
-bool GatewayNode::OnServers(StoreUpdate update) {
-  std::map<std::string, ServerRecord> servers;
+GatewayNode::ServersByName GatewayNode::ReadServers(StoreUpdate& update) {
+  ServersByName servers;
   for (StoredObject& object : update.objects) {
     if (object.removed) {
       continue;
@@ -169,36 +168,51 @@
       object.removed = true;
     }
   }
-  const bool is_list = !update.since;
-  if (is_list) {
+  if (!update.since) {
     std::erase_if(update.objects, [](const auto& one) { return one.removed; });
   }
+  return servers;
+}
+
+bool GatewayNode::OnServers(StoreUpdate update) {
+  const ServersByName servers = ReadServers(update);
   const StoreVersion known = server_mirror_.version();
   const auto taken = server_mirror_.Take(update);
   LogUpdate("servers", update, taken.has_value(), known);
   if (!taken) {
     return false;
   }
+  if (taken->since) {
+    ApplyServerChanges(taken->objects, servers);
+  } else {
+    ApplyServerList(servers);
+  }
+  return true;
+}
+
+void GatewayNode::ApplyServerList(const ServersByName& servers) {
+  std::vector<ServerRecord> all;
+  for (const auto& [name, server] : servers) {
+    all.push_back(server);
+  }
+  const TimePoint now = MonotonicNow();
+  state_.directory.OnList(all, store_reachability_.KeepsMissingServers(now),
+                          now);
+  state_.servers_listed = true;
+  UpdateReadiness();
+}
+
+void GatewayNode::ApplyServerChanges(const std::vector<StoredObject>& changes,
+                                     const ServersByName& servers) {
   const TimePoint now = MonotonicNow();
   const bool keep_missing = store_reachability_.KeepsMissingServers(now);
-  if (is_list) {
-    std::vector<ServerRecord> all;
-    for (const auto& [name, server] : servers) {
-      all.push_back(server);
-    }
-    state_.directory.OnList(all, keep_missing, now);
-    state_.servers_listed = true;
-    UpdateReadiness();
-    return true;
-  }
-  for (const StoredObject& change : taken->objects) {
+  for (const StoredObject& change : changes) {
     if (change.removed) {
       state_.directory.OnRemoved(ServerId(change.name), keep_missing, now);
     } else {
       state_.directory.OnServer(servers.at(change.name), now);
     }
   }
-  return true;
 }
 
 bool GatewayNode::OnNodes(StoreUpdate update) {
