--- a/modules/qh_gateway/decisions/store/copy_check.cpp
+++ b/modules/qh_gateway/decisions/store/copy_check.cpp
@@ -32,6 +32,7 @@
   });
   if (!AnyPeer(true, now)) {
     differs_since_.reset();
+    // Only a pause without a difference shows that the last reading has helped.
     if (now >= no_reading_before_) {
       pause_ = kFirstPause;
     }
--- a/modules/qh_gateway/decisions/store/copy_check.h
+++ b/modules/qh_gateway/decisions/store/copy_check.h
@@ -22,6 +22,8 @@
 
 namespace qh {
 
+// Judges the copy of one kind of objects. Does no I/O; its owner reads the
+// copy.
 class CopyCheck {
  public:
   // How long a difference lasts before the copy is read anew: by a node that
@@ -57,15 +59,19 @@
     TimePoint heard_at;
   };
 
-  // Whether a fresh report says so.
+  // Whether some peer was heard within kPeerLifetime whose copy differs; with
+  // `differs` false, one whose copy agrees.
   bool AnyPeer(bool differs, TimePoint now) const;
 
   Rng rng_;
+  // By name of the node. Peers whose copies can't be compared, as they are of
+  // another version and differ, keep what they told before.
   std::map<std::string, Peer> peers_;
   // Since when some peer has differed, and the jitter of the reading that this
   // calls for.
   std::optional<TimePoint> differs_since_;
   Duration jitter_ = Duration::zero();
+  // End of the pause after the last reading, and length of the next pause.
   TimePoint no_reading_before_;
   Duration pause_ = kFirstPause;
 };
