Gateway: metrics and logs tell when a node's copy moved on, and whose word it was

New: state_changed lines, gauges of the copy's revision and age, of following the store, of relays heard and of keeping missing servers, and a counter of servers' changes. The line 'passed over, older' also stood for an update of an equal version; it says 'passed over' now.

--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -111,7 +111,7 @@
   void ApplyServerList(const ServersByName& servers);
   void ApplyServerChanges(const std::vector<StoredObject>& changes,
                           const ServersByName& servers);
-  // Logs a list, and counts and logs an update that was passed over.
+  // Logs an update that is of interest, and counts one that was passed over.
   void LogUpdate(const char* kind,
                  const StoreUpdate& update,
                  bool taken,
@@ -179,6 +179,11 @@
   // Answers a peer's PeerStateFetcher.
   ServiceAnswer AnswerPeer(const HttpHead& head) const;
   ServiceAnswer AnswerMetrics(const HttpHead& head);
+  // Set the gauges of this node's load, of its copies of the store's state, and
+  // of its servers' speeds.
+  void SetLoadMetrics();
+  void SetStateMetrics(TimePoint now);
+  void SetSpeedMetrics();
 
   boost::asio::io_context& io_;
   const WireCodec& codec_;
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -240,8 +240,10 @@
                             bool taken,
                             const StoreVersion& known) {
   const bool is_list = !update.since;
-  // The watch often reports what peers have told before.
-  if (update.source == UpdateSource::kStore && !is_list) {
+  // The watch often reports what peers have told before, or that nothing has
+  // changed.
+  const bool of_watch = update.source == UpdateSource::kStore && !is_list;
+  if (of_watch && (!taken || update.objects.empty())) {
     return;
   }
   if (!taken) {
@@ -249,19 +251,18 @@
                           .request_class = kind,
                           .reason = std::string(ToName(update.source))});
   }
-  if (taken && !is_list) {
-    return;
-  }
-  state_.log.Write(LogLine(ToName(GatewayEvent::kStateListed))
+  const GatewayEvent event =
+      is_list ? GatewayEvent::kStateListed : GatewayEvent::kStateChanged;
+  state_.log.Write(LogLine(ToName(event))
                        .With("kind", kind)
                        .With("from", ToName(update.source))
-                       .With("outcome", taken ? "taken" : "passed over, older")
+                       .With("outcome", taken ? "taken" : "passed over")
                        .With("objects", update.objects.size())
                        .With("epoch", update.version.epoch)
                        .With("revision", update.version.revision)
                        .With("known_epoch", known.epoch)
                        .With("known_revision", known.revision),
-                   GatewayEvent::kStateListed);
+                   event);
 }
 
 void GatewayNode::OnNodeList(const std::vector<StoredObject>& objects) {
--- a/modules/qh_gateway/forwarding/gateway_state.cpp
+++ b/modules/qh_gateway/forwarding/gateway_state.cpp
@@ -213,6 +213,8 @@
 
 void GatewayState::OnServerChange(ServerChange change,
                                   const ServerRecord& server) {
+  metrics.Count({.name = "gateway_server_changes_total",
+                 .reason = std::string(ToName(change))});
   log.Write(
       LogLine(ToName(GatewayEvent::kServerChanged))
           .With("change", ToName(change))
