Gateway: changes are of use only to the version that they lead on from

Cause: a copy remembered for its peers only what made a difference to itself, from lists, confirmations and changes alike, and answered any later version as if it knew all that had happened since.

Change: StoreMirror remembers steps. A step of the store names each object that changed, also one that changed back; a list, a confirmation and a peer's difference leave a gap, and a peer whose version lies in it gets all objects. A list is remembered by its difference, so that a node that lists anew need not send all objects to its failure domain. Changes carry the digest that has to result: if another one does, they are not taken, and all objects are asked for at once. A change between two versions is taken only at the version that it leads on from. A copy in doubt takes a later list from any peer.

--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -65,6 +65,12 @@
  private:
   using ServersByName = std::map<std::string, ServerRecord>;
 
+  // An update, and what of it a mirror took.
+  struct TakenUpdate {
+    UpdateOutcome outcome = UpdateOutcome::kPassedOver;
+    std::optional<StoreUpdate> taken;
+  };
+
   GatewayNode(boost::asio::io_context& io,
               const WireCodec& codec,
               const GatewaySettings& settings,
@@ -103,9 +109,16 @@
   // Decodes the servers of `update`. One that can't be read counts as removed.
   ServersByName ReadServers(StoreUpdate& update);
   // Apply what the store or a peer says of the servers or of the nodes, unless
-  // it is older than this node's copy. Return whether it was applied.
-  bool OnServers(StoreUpdate update);
-  bool OnNodes(StoreUpdate update);
+  // it is older than this node's copy.
+  UpdateOutcome OnServers(StoreUpdate update);
+  UpdateOutcome OnNodes(StoreUpdate update);
+  // Lets `mirror`, the copy of `kind`, take an update. If it contradicts the
+  // copy, all objects are read anew: from the store by a node that follows it,
+  // else from a peer.
+  TakenUpdate TakeUpdate(const char* kind,
+                         StoreMirror& mirror,
+                         StoreWatcher& watcher,
+                         const StoreUpdate& update);
   // Tell the directory what was taken of an update; `servers` are those of the
   // update.
   void ApplyServerList(const ServersByName& servers);
@@ -114,7 +127,7 @@
   // Logs an update that is of interest, and counts one that was passed over.
   void LogUpdate(const char* kind,
                  const StoreUpdate& update,
-                 bool taken,
+                 UpdateOutcome outcome,
                  const StoreVersion& known);
   // Decodes a server's registration; logs one that can't be decoded.
   std::optional<ServerRecord> ReadServer(const StoredObject& object);
@@ -166,7 +179,7 @@
   // Returns the relays of this node's failure domain with newer state.
   std::vector<Address> RelaysWithNewer(PeerState state, TimePoint now) const;
   // Applies what a peer answered that was asked for what is newer than `since`.
-  // Returns whether it was newer.
+  // Returns whether it was newer, though it may have contradicted the copy.
   bool OnPeerState(PeerState state,
                    const std::string& body,
                    const StoreVersion& since);
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -187,8 +187,11 @@
     case PeerState::kConfig:
       return peer.config_version > ConfigVersion();
     case PeerState::kServers:
+      // Of two copies of copies of one version nobody knows which one is
+      // wrong.
       return server_mirror_.IsBehind(peer.servers) &&
-             (!server_mirror_.is_in_doubt() || peer.follows_store);
+             (!server_mirror_.is_in_doubt() || peer.follows_store ||
+              peer.servers.version > server_mirror_.version());
     case PeerState::kNodes:
       return peer.nodes_changed > node_mirror_.version();
   }
@@ -280,8 +283,10 @@
                      GatewayEvent::kPeerChanged);
     return false;
   }
-  return state == PeerState::kServers ? OnServers(std::move(update.value()))
-                                      : OnNodes(std::move(update.value()));
+  const UpdateOutcome outcome = state == PeerState::kServers
+                                    ? OnServers(std::move(update.value()))
+                                    : OnNodes(std::move(update.value()));
+  return outcome != UpdateOutcome::kPassedOver;
 }
 
 bool GatewayNode::OnPeerConfig(const std::string& content) {
--- a/modules/qh_gateway/control/gateway_node_store.cpp
+++ b/modules/qh_gateway/control/gateway_node_store.cpp
@@ -174,20 +174,19 @@
   return servers;
 }
 
-bool GatewayNode::OnServers(StoreUpdate update) {
+UpdateOutcome GatewayNode::OnServers(StoreUpdate update) {
   const ServersByName servers = ReadServers(update);
-  const StoreVersion known = server_mirror_.version();
-  const auto taken = server_mirror_.Take(update);
-  LogUpdate("servers", update, taken.has_value(), known);
+  const auto [outcome, taken] =
+      TakeUpdate("servers", server_mirror_, *server_watcher_, update);
   if (!taken) {
-    return false;
+    return outcome;
   }
   if (taken->since) {
     ApplyServerChanges(taken->objects, servers);
   } else {
     ApplyServerList(servers);
   }
-  return true;
+  return outcome;
 }
 
 void GatewayNode::ApplyServerList(const ServersByName& servers) {
@@ -215,16 +214,15 @@
   }
 }
 
-bool GatewayNode::OnNodes(StoreUpdate update) {
-  const StoreVersion known = node_mirror_.version();
-  const auto taken = node_mirror_.Take(update);
-  LogUpdate("nodes", update, taken.has_value(), known);
+UpdateOutcome GatewayNode::OnNodes(StoreUpdate update) {
+  const auto [outcome, taken] =
+      TakeUpdate("nodes", node_mirror_, *node_watcher_, update);
   if (!taken) {
-    return false;
+    return outcome;
   }
   if (!taken->since) {
     OnNodeList(taken->objects);
-    return true;
+    return outcome;
   }
   for (const StoredObject& change : taken->objects) {
     verdict_archive_.OnChange(change);
@@ -232,14 +230,39 @@
       AddNode(change);
     }
   }
-  return true;
+  return outcome;
+}
+
+GatewayNode::TakenUpdate GatewayNode::TakeUpdate(const char* kind,
+                                                 StoreMirror& mirror,
+                                                 StoreWatcher& watcher,
+                                                 const StoreUpdate& update) {
+  const StoreVersion known = mirror.version();
+  const bool was_in_doubt = mirror.is_in_doubt();
+  TakenUpdate result{.taken = mirror.Take(update)};
+  if (result.taken) {
+    result.outcome = UpdateOutcome::kTaken;
+  } else if (mirror.is_in_doubt() && !was_in_doubt) {
+    result.outcome = UpdateOutcome::kContradicted;
+  }
+  LogUpdate(kind, update, result.outcome, known);
+  if (result.outcome == UpdateOutcome::kContradicted) {
+    state_.metrics.Count(
+        {.name = "gateway_copies_in_doubt_total", .request_class = kind});
+    if (following_) {
+      // Otherwise the next call to a peer asks for all objects.
+      watcher.ListAnew();
+    }
+  }
+  return result;
 }
 
 void GatewayNode::LogUpdate(const char* kind,
                             const StoreUpdate& update,
-                            bool taken,
+                            UpdateOutcome outcome,
                             const StoreVersion& known) {
   const bool is_list = !update.since;
+  const bool taken = outcome == UpdateOutcome::kTaken;
   // The watch often reports what peers have told before, or that nothing has
   // changed.
   const bool of_watch = update.source == UpdateSource::kStore && !is_list;
@@ -256,7 +279,7 @@
   state_.log.Write(LogLine(ToName(event))
                        .With("kind", kind)
                        .With("from", ToName(update.source))
-                       .With("outcome", taken ? "taken" : "passed over")
+                       .With("outcome", ToName(outcome))
                        .With("objects", update.objects.size())
                        .With("epoch", update.version.epoch)
                        .With("revision", update.version.revision)
--- a/modules/qh_gateway/decisions/store/store_mirror.cpp
+++ b/modules/qh_gateway/decisions/store/store_mirror.cpp
@@ -16,6 +16,9 @@
 constexpr const char* kComplete = "complete";
 // Contents by name; null for a removed object.
 constexpr const char* kObjects = "objects";
+// Nodes of an earlier version send neither of these.
+constexpr const char* kGapless = "gapless";
+constexpr const char* kDigest = "digest";
 
 // An object's part of the digest; parts are combined by exclusive or.
 uint64_t DigestOf(const std::string& name, const std::string& content) {
@@ -26,6 +29,19 @@
   return json.contains(key) && json[key].is_number_unsigned();
 }
 
+// Returns the last change of each object, in order.
+std::vector<StoredObject> LastChanges(std::vector<StoredObject> changes) {
+  std::set<std::string> changed_later;
+  std::vector<StoredObject> last;
+  for (auto change = changes.rbegin(); change != changes.rend(); ++change) {
+    if (changed_later.insert(change->name).second) {
+      last.push_back(std::move(*change));
+    }
+  }
+  std::reverse(last.begin(), last.end());
+  return last;
+}
+
 }  // namespace
 
 bool StoreMirror::IsSurpassedBy(const StoreVersion& version) const {
@@ -39,10 +55,12 @@
                : IsSurpassedBy(update.version);
   }
   // Revisions of two epochs don't compare.
-  return !is_in_doubt_ && version_.revision > 0 &&
-         update.since->epoch == version_.epoch &&
-         update.version.epoch == version_.epoch && *update.since <= version_ &&
-         update.version > version_;
+  const bool compares = !is_in_doubt_ && version_.revision > 0 &&
+                        update.since->epoch == version_.epoch &&
+                        update.version.epoch == version_.epoch;
+  const bool reaches_back =
+      update.is_gapless ? *update.since <= version_ : *update.since == version_;
+  return compares && reaches_back && update.version > version_;
 }
 
 std::optional<StoreUpdate> StoreMirror::Take(StoreUpdate update) {
@@ -53,59 +71,101 @@
     Replace(update.objects, update.version);
     return update;
   }
-  KeepEffective(update.objects);
-  version_ = update.version;
+  std::vector<StoredObject> changes = LastChanges(std::move(update.objects));
+  update.objects = Effective(changes);
+  if (update.digest && DigestAfter(update.objects) != *update.digest) {
+    is_in_doubt_ = true;
+    return std::nullopt;
+  }
   for (const StoredObject& change : update.objects) {
     Apply(change);
-    Remember(change);
-    changed_ = version_;
   }
+  Remember({.since = std::exchange(version_, update.version),
+            .version = update.version,
+            .objects = std::move(changes),
+            .is_gapless = update.is_gapless});
   return update;
 }
 
 void StoreMirror::Replace(const std::vector<StoredObject>& objects,
                           const StoreVersion& version) {
-  const bool had_earlier =
-      version_.revision > 0 && version_.epoch == version.epoch;
-  const uint64_t digest_before = digest_;
-  contents_.clear();
-  digest_ = 0;
+  std::map<std::string, std::string> contents;
   for (const StoredObject& object : objects) {
-    Apply(object);
+    contents[object.name] = object.content;
+  }
+  Step step{.since = version_,
+            .version = version,
+            .objects = DifferenceTo(contents),
+            .is_gapless = false};
+  const bool is_known = version_.revision > 0 && version_ == version;
+  if (is_known && step.objects.empty()) {
+    is_in_doubt_ = false;
+    return;
+  }
+  const bool leads_on = version_.revision > 0 && !is_in_doubt_ &&
+                        version_.epoch == version.epoch && version_ < version;
+  for (const StoredObject& change : step.objects) {
+    Apply(change);
   }
   version_ = version;
   is_in_doubt_ = false;
-  if (had_earlier && digest_ == digest_before) {
+  if (leads_on) {
+    Remember(std::move(step));
     return;
   }
   changed_ = version_;
-  changes_.clear();
-  changes_since_ = version_;
+  steps_.clear();
+  remembered_ = 0;
+  steps_since_ = version_;
 }
 
-void StoreMirror::Apply(const StoredObject& change) {
-  const auto known = contents_.find(change.name);
-  if (known != contents_.end()) {
-    digest_ ^= DigestOf(change.name, known->second);
-    contents_.erase(known);
+std::vector<StoredObject> StoreMirror::DifferenceTo(
+    const std::map<std::string, std::string>& contents) const {
+  std::vector<StoredObject> difference;
+  for (const auto& [name, content] : contents_) {
+    if (!contents.contains(name)) {
+      difference.push_back({.name = name, .removed = true});
+    }
+  }
+  for (const auto& [name, content] : contents) {
+    StoredObject object{.name = name, .content = content};
+    if (!Holds(object)) {
+      difference.push_back(std::move(object));
+    }
   }
-  if (!change.removed) {
-    digest_ ^= DigestOf(change.name, change.content);
+  return difference;
+}
+
+void StoreMirror::Apply(const StoredObject& change) {
+  digest_ = DigestAfter({change});
+  if (change.removed) {
+    contents_.erase(change.name);
+  } else {
     contents_[change.name] = change.content;
   }
 }
 
-void StoreMirror::KeepEffective(std::vector<StoredObject>& changes) const {
-  std::set<std::string> changed_later;
-  std::vector<StoredObject> effective;
-  for (auto change = changes.rbegin(); change != changes.rend(); ++change) {
-    const bool is_last = changed_later.insert(change->name).second;
-    if (is_last && !Holds(*change)) {
-      effective.push_back(std::move(*change));
+uint64_t StoreMirror::DigestAfter(
+    const std::vector<StoredObject>& changes) const {
+  uint64_t digest = digest_;
+  for (const StoredObject& change : changes) {
+    const auto known = contents_.find(change.name);
+    if (known != contents_.end()) {
+      digest ^= DigestOf(change.name, known->second);
+    }
+    if (!change.removed) {
+      digest ^= DigestOf(change.name, change.content);
     }
   }
-  std::reverse(effective.begin(), effective.end());
-  changes = std::move(effective);
+  return digest;
+}
+
+std::vector<StoredObject> StoreMirror::Effective(
+    const std::vector<StoredObject>& changes) const {
+  std::vector<StoredObject> effective;
+  std::copy_if(changes.begin(), changes.end(), std::back_inserter(effective),
+               [&](const StoredObject& change) { return !Holds(change); });
+  return effective;
 }
 
 bool StoreMirror::Holds(const StoredObject& change) const {
@@ -115,15 +175,20 @@
              : found != contents_.end() && found->second == change.content;
 }
 
-void StoreMirror::Remember(StoredObject change) {
-  changes_.push_back({version_, std::move(change)});
-  if (changes_.size() <= kMaxChanges) {
+void StoreMirror::Remember(Step step) {
+  if (step.is_gapless && step.objects.empty()) {
     return;
   }
-  // Changes that arrived together are kept or dropped together.
-  changes_since_ = changes_.front().version;
-  while (!changes_.empty() && changes_.front().version <= changes_since_) {
-    changes_.pop_front();
+  const auto weight = [](const Step& one) {
+    return std::max<size_t>(1, one.objects.size());
+  };
+  changed_ = step.version;
+  remembered_ += weight(step);
+  steps_.push_back(std::move(step));
+  while (remembered_ > kMaxChanges) {
+    remembered_ -= weight(steps_.front());
+    steps_since_ = steps_.front().version;
+    steps_.pop_front();
   }
 }
 
@@ -146,28 +211,43 @@
   const bool is_later = version_.revision > 0 &&
                         peer.version.epoch == version_.epoch &&
                         peer.version > version_;
-  if (is_later && HoldsSameAs(peer)) {
-    version_ = peer.version;
+  if (!is_later || !HoldsSameAs(peer)) {
+    return;
+  }
+  if (peer.changed > version_) {
+    // Objects changed, and changed back.
+    Remember({.since = version_, .version = peer.changed, .is_gapless = false});
   }
+  version_ = peer.version;
+}
+
+bool StoreMirror::NeedsAll(const StoreVersion& version) const {
+  return version.epoch != version_.epoch || version < steps_since_ ||
+         std::any_of(steps_.begin(), steps_.end(), [&](const Step& step) {
+           return !step.is_gapless && step.since < version &&
+                  version < step.version;
+         });
 }
 
 std::string StoreMirror::EncodeSince(const StoreVersion& version) const {
-  const bool complete =
-      version.epoch != version_.epoch || version < changes_since_;
+  const bool complete = NeedsAll(version);
+  bool gapless = true;
   Json objects = Json::object();
   if (complete) {
     objects = contents_;
   }
-  for (const Change& change : changes_) {
-    if (!complete && change.version > version) {
-      objects[change.object.name] =
-          change.object.removed ? Json() : Json(change.object.content);
+  for (const Step& step : steps_) {
+    if (complete || step.version <= version) {
+      continue;
+    }
+    gapless = gapless && step.is_gapless;
+    for (const StoredObject& object : step.objects) {
+      objects[object.name] = object.removed ? Json() : Json(object.content);
     }
   }
-  return Json{{kEpoch, version_.epoch},
-              {kRevision, version_.revision},
-              {kComplete, complete},
-              {kObjects, objects}}
+  return Json{{kEpoch, version_.epoch}, {kRevision, version_.revision},
+              {kComplete, complete},    {kGapless, gapless},
+              {kDigest, digest_},       {kObjects, objects}}
       .dump();
 }
 
@@ -187,6 +267,11 @@
   const bool complete = json[kComplete].get<bool>();
   if (!complete) {
     update.since = since;
+    const auto gapless = json.find(kGapless);
+    update.is_gapless = gapless != json.end() && *gapless == true;
+  }
+  if (IsNumber(json, kDigest)) {
+    update.digest = json[kDigest].get<uint64_t>();
   }
   for (const auto& [name, content] : json[kObjects].items()) {
     const bool removed = !complete && content.is_null();
--- a/modules/qh_gateway/decisions/store/store_mirror.h
+++ b/modules/qh_gateway/decisions/store/store_mirror.h
@@ -7,6 +7,13 @@
 // way describes an older state than the changes that a peer has told of
 // meanwhile. Therefore objects and version change together or not at all, in
 // Take alone, and by version, whoever sent the update and whenever it arrives.
+//
+// Changes are of use to a peer only if they lead on from its version. Between
+// two versions of a mirror, objects may have come and gone, or changed back,
+// that the mirror never knew of; a peer whose version lies between the two may
+// know them. It gets all objects then. A peer's changes also carry the digest
+// that has to result; if another one does, one of the two copies is wrong, and
+// all objects are needed.
 
 #ifndef QH_GATEWAY_DECISIONS_STORE_STORE_MIRROR_H_
 #define QH_GATEWAY_DECISIONS_STORE_STORE_MIRROR_H_
@@ -41,12 +48,33 @@
   std::vector<StoredObject> objects;
   StoreVersion version;
   std::optional<StoreVersion> since;
+  // Whether the changes name every object that changed between the two, also
+  // one that changed back. If not, they lead on from `since` alone.
+  bool is_gapless = true;
+  // The digest of all objects at `version`; nullopt if the sender told none.
+  std::optional<uint64_t> digest;
+};
+
+// What became of an update.
+enum class UpdateOutcome {
+  kTaken,
+  // It led no further than what was known, or on from another version.
+  kPassedOver,
+  // It did not lead to the objects that its sender has.
+  kContradicted,
+};
+
+template <>
+inline constexpr EnumName<UpdateOutcome> kEnumNames<UpdateOutcome>[] = {
+    {UpdateOutcome::kTaken, "taken"},
+    {UpdateOutcome::kPassedOver, "passed over"},
+    {UpdateOutcome::kContradicted, "contradicted"},
 };
 
 // What a node tells its peers of its mirror.
 struct MirrorState {
   StoreVersion version;
-  // The version at which the objects last changed.
+  // The version after which no object has changed, not even to change back.
   StoreVersion changed;
   // Sums up names and contents of all objects; nullopt from nodes of an earlier
   // version.
@@ -55,15 +83,17 @@
 
 class StoreMirror {
  public:
-  // Changes kept for peers that ask for them; with more, they get all objects.
+  // Changed objects kept for peers that ask for them; with more, they get all
+  // objects.
   static constexpr size_t kMaxChanges = 512;
 
   // Applies `update` and moves on to its version. Returns what was applied: a
   // list as it is, of changes only those that make a difference, at most one
   // for each object. Returns nullopt, and changes nothing, if the mirror is
-  // there or further already, or does not reach back to where the changes
-  // begin. A list of the store's own may replace objects of the same version:
-  // if they differ, the mirror's are wrong.
+  // there or further already, or the changes don't lead on from its version. A
+  // list of the store's own may replace objects of the same version: if they
+  // differ, the mirror's are wrong. Changes that don't lead to the digest that
+  // they came with leave the mirror in doubt.
   [[nodiscard]] std::optional<StoreUpdate> Take(StoreUpdate update);
   // Takes over the version of a peer that holds the same objects.
   void ConfirmBy(const MirrorState& peer);
@@ -94,9 +124,15 @@
                                     const StoreVersion& since);
 
  private:
-  struct Change {
+  // What led from one version of the mirror to a later one. Between two steps
+  // no object changed.
+  struct Step {
+    StoreVersion since;
     StoreVersion version;
-    StoredObject object;
+    // As of `version`, each at most once.
+    std::vector<StoredObject> objects;
+    // As in StoreUpdate.
+    bool is_gapless = true;
   };
 
   // Whether `version` is later than the mirror's, or equal if it is in doubt.
@@ -107,14 +143,21 @@
   bool Holds(const StoredObject& change) const;
   // Whether a peer holds the same objects, whatever its version.
   bool HoldsSameAs(const MirrorState& peer) const;
-  // Leaves out changes that others of the list make obsolete, and those that
-  // make no difference.
-  void KeepEffective(std::vector<StoredObject>& changes) const;
+  // Whether a mirror at `version` needs all objects, as the changes since are
+  // not all known.
+  bool NeedsAll(const StoreVersion& version) const;
+  // Returns those of `changes` that make a difference.
+  std::vector<StoredObject> Effective(
+      const std::vector<StoredObject>& changes) const;
+  // Returns the digest after `changes`, which name no object twice.
+  uint64_t DigestAfter(const std::vector<StoredObject>& changes) const;
   void Replace(const std::vector<StoredObject>& objects,
                const StoreVersion& version);
+  // Returns what leads from contents_ to `contents`.
+  std::vector<StoredObject> DifferenceTo(
+      const std::map<std::string, std::string>& contents) const;
   void Apply(const StoredObject& change);
-  // Remembers a change at version_.
-  void Remember(StoredObject change);
+  void Remember(Step step);
 
   // Content of each object, by name: the state of the store at version_.
   std::map<std::string, std::string> contents_;
@@ -123,9 +166,11 @@
   StoreVersion version_;
   StoreVersion changed_;
   bool is_in_doubt_ = false;
-  // What led from the state at changes_since_ to contents_, oldest first.
-  std::deque<Change> changes_;
-  StoreVersion changes_since_;
+  // What led from the state at steps_since_ to contents_, oldest first.
+  std::deque<Step> steps_;
+  StoreVersion steps_since_;
+  // Objects in steps_; a step without any counts as one.
+  size_t remembered_ = 0;
 };
 
 }  // namespace qh
--- a/tests/qh_gateway/store_mirror_test.cpp
+++ b/tests/qh_gateway/store_mirror_test.cpp
@@ -300,4 +300,56 @@
   CHECK(taken->objects[0].name == "b");
 }
 
+// Guards against requests to a server that is gone (DRAIN): a copy that was
+// wrong went on to each later version, until its digest was compared.
+TEST_CASE(
+    "changes that lead to other objects than the sender's put a copy in "
+    "doubt") {
+  StoreMirror node = MakeMirror(9, {Object("a", "1"), Object("gone", "1")});
+  StoreMirror peer = MakeMirror(9, {Object("a", "1")});
+  REQUIRE(peer.Take(Changes({1, 9}, {1, 10}, {Object("a", "2")})));
+  const uint64_t digest = DigestOf(node);
+  CHECK_FALSE(TakeFrom(node, peer, node.base()));
+  CHECK(node.is_in_doubt());
+  CHECK(DigestOf(node) == digest);
+  CHECK(node.version() == StoreVersion{1, 9});
+  CHECK(node.IsBehind(peer.state()));
+  REQUIRE(TakeFrom(node, peer, node.base()));
+  CHECK_FALSE(node.is_in_doubt());
+  CHECK(DigestOf(node) == DigestOf(peer));
+}
+
+// The peer's version lies between two of the sender's, which has not seen all
+// that happened between them.
+TEST_CASE("a version that the sender has skipped gets all objects") {
+  const std::vector<StoredObject> objects{Object("a", "1")};
+  StoreMirror sender = MakeMirror(5, objects);
+  StoreMirror reader = MakeMirror(5, objects);
+  StoreMirror between = MakeMirror(5, objects);
+  REQUIRE(between.Take(Changes({1, 5}, {1, 6}, {Object("b", "1")})));
+  REQUIRE(
+      reader.Take(Changes({1, 5}, {1, 9}, {Object("b", "1"), Removed("b")})));
+  SECTION("as it was told that nothing differs") {
+    sender.ConfirmBy(reader.state());
+  }
+  SECTION("as it has listed anew") {
+    REQUIRE(sender.Take(List({1, 9}, objects)));
+  }
+  SECTION("as a peer has told it the difference alone") {
+    StoreMirror lister = MakeMirror(5, objects);
+    REQUIRE(lister.Take(List({1, 9}, {Object("a", "2")})));
+    REQUIRE(TakeFrom(sender, lister, {1, 5}));
+  }
+  REQUIRE(sender.version() == StoreVersion{1, 9});
+  const auto taken = TakeFrom(between, sender, between.base());
+  REQUIRE(taken);
+  CHECK_FALSE(taken->since);
+  CHECK(DigestOf(between) == DigestOf(sender));
+  // One that was where the sender was gets changes.
+  StoreMirror before = MakeMirror(5, objects);
+  const auto changes = TakeFrom(before, sender, before.base());
+  REQUIRE(changes);
+  CHECK(changes->since);
+}
+
 }  // namespace qh
