Gateway: a node's partition is told from an outage of the store

Cause: a node that reached neither store nor peers, and is answered before it hears them, reports that the store has recovered; all that hear it keep missing servers for 2.2 s.

Change: a report tells when the outage began, and since when the store has answered the node steadily. An outage is contradicted by any node that was answered steadily through it, but for a time in which no registration expires; a contradicted one counts nowhere and is reported no more.

--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -271,6 +271,14 @@
                         : std::optional(Duration(json.get<int64_t>()));
 }
 
+StoreReachabilityReport ReachabilityFromJson(const Json& json) {
+  // Nodes of an earlier version don't send the last two.
+  return {.answered_ago = AgoFromJson(json.at("answered")),
+          .recovered_ago = AgoFromJson(json.at("returned")),
+          .failing_ago = AgoFromJson(json.value("failing", Json())),
+          .steady_ago = AgoFromJson(json.value("steady", Json()))};
+}
+
 Json ConfirmationToJson(const std::optional<ConfirmationReport>& report) {
   return report ? Json::array(
                       {report->origin, report->number, report->ago.count()})
@@ -327,8 +335,7 @@
   }
   heartbeat.rate_limits = RateLimitsFromJson(json);
   heartbeat.reported_window = json.at("reported");
-  heartbeat.store_reachability = {AgoFromJson(json.at("answered")),
-                                  AgoFromJson(json.at("returned"))};
+  heartbeat.store_reachability = ReachabilityFromJson(json);
   for (const Json& entry : json.at("open")) {
     heartbeat.outstanding_work[ServerId(entry.at(0))] = {
         entry.at(1), entry.at(2).get<double>(), KvTokensOf(entry)};
@@ -404,6 +411,8 @@
       {"reported", reported_window},
       {"answered", AgoToJson(store_reachability.answered_ago)},
       {"returned", AgoToJson(store_reachability.recovered_ago)},
+      {"failing", AgoToJson(store_reachability.failing_ago)},
+      {"steady", AgoToJson(store_reachability.steady_ago)},
       {"open", OutstandingWorkToJson(outstanding_work)},
       {"totals", TotalsToJson(team_totals)},
       {"usage", UsageToJson(usage)},
--- a/modules/qh_gateway/decisions/store/store_reachability.cpp
+++ b/modules/qh_gateway/decisions/store/store_reachability.cpp
@@ -21,10 +21,13 @@
 void StoreReachability::OnAnswer(TimePoint now) {
   if (is_unreachable() && !PeerWasAnswered(failing_since_)) {
     // This node may have stopped to ask long before the outage ended.
-    recovered_ = PeerRecovery(failing_since_).value_or(now);
+    own_.outage = {failing_since_, PeerRecovery(failing_since_).value_or(now)};
+  }
+  if (is_unreachable() || !own_.last || now - *own_.last > kSteadyGap) {
+    own_.steady_since = now;
   }
   failures_ = 0;
-  answered_ = now;
+  own_.last = now;
 }
 
 void StoreReachability::OnFailure(TimePoint now) {
@@ -37,35 +40,64 @@
 void StoreReachability::OnPeer(const std::string& node,
                                const StoreReachabilityReport& report,
                                TimePoint now) {
-  peers_[node] = {TimeOfAge(report.answered_ago, now),
-                  TimeOfAge(report.recovered_ago, now)};
+  Answers& peer = peers_[node];
+  peer.last = TimeOfAge(report.answered_ago, now);
+  peer.steady_since = TimeOfAge(report.steady_ago, now);
+  peer.outage.reset();
+  if (report.recovered_ago) {
+    peer.outage = {TimeOfAge(report.failing_ago, now),
+                   now - *report.recovered_ago};
+  }
 }
 
 bool StoreReachability::PeerWasAnswered(TimePoint since) const {
   return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-    const Peer& peer = entry.second;
-    const bool answered =
-        peer.answered && *peer.answered > since + kOrderMargin;
+    const Answers& peer = entry.second;
+    const bool answered = peer.last && *peer.last > since + kOrderMargin;
     // A peer that observed the outage too was answered only after it.
-    const bool observed_outage = peer.recovered && *peer.recovered > since;
+    const bool observed_outage = peer.outage && peer.outage->ended > since;
     return answered && !observed_outage;
   });
 }
 
+bool StoreReachability::IsContradicted(const Outage& outage) const {
+  if (!outage.began) {
+    return false;
+  }
+  // What is left of the outage after the last answer is too short to matter.
+  const auto was_steady = [&](const Answers& answers) {
+    return answers.steady_since && *answers.steady_since <= *outage.began &&
+           *answers.last + kSteadyGap >= outage.ended;
+  };
+  return was_steady(own_) ||
+         std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+           return was_steady(entry.second);
+         });
+}
+
 std::optional<TimePoint> StoreReachability::PeerRecovery(
     TimePoint since) const {
   std::optional<TimePoint> last;
   for (const auto& [node, peer] : peers_) {
-    if (peer.recovered && *peer.recovered > last.value_or(since)) {
-      last = peer.recovered;
+    const bool is_later =
+        peer.outage && peer.outage->ended > last.value_or(since);
+    if (is_later && !IsContradicted(*peer.outage)) {
+      last = peer.outage->ended;
     }
   }
   return last;
 }
 
+std::optional<TimePoint> StoreReachability::OwnRecovery() const {
+  return own_.outage && !IsContradicted(*own_.outage)
+             ? std::optional(own_.outage->ended)
+             : std::nullopt;
+}
+
 std::optional<TimePoint> StoreReachability::LastRecovery() const {
-  const auto peer = PeerRecovery(recovered_.value_or(TimePoint::min()));
-  return peer ? peer : recovered_;
+  const auto own = OwnRecovery();
+  const auto peer = PeerRecovery(own.value_or(TimePoint::min()));
+  return peer ? peer : own;
 }
 
 bool StoreReachability::KeepsMissingServers(TimePoint now) const {
@@ -84,11 +116,18 @@
 
 StoreReachabilityReport StoreReachability::Report(TimePoint now) const {
   StoreReachabilityReport report;
-  if (answered_) {
-    report.answered_ago = now - *answered_;
+  if (own_.last) {
+    report.answered_ago = now - *own_.last;
+  }
+  const bool is_steady = own_.last && now - *own_.last <= kSteadyGap;
+  if (is_steady && !is_unreachable()) {
+    report.steady_ago = now - *own_.steady_since;
+  }
+  if (OwnRecovery()) {
+    report.recovered_ago = now - own_.outage->ended;
   }
-  if (recovered_) {
-    report.recovered_ago = now - *recovered_;
+  if (OwnRecovery() && own_.outage->began) {
+    report.failing_ago = now - *own_.outage->began;
   }
   return report;
 }
