Gateway: a failure domain that its relays leave without news asks elsewhere

Cause: a node that does not follow the store asked the relays of its failure domain alone, as long as one of them told of newer state, however often it did not answer; each failure doubled the timeout of the next call, whoever it was to. And if all relays count as readers but hear nothing, no node asks anybody.

Change: a peer whose last call failed is passed over for 5 s. If nobody else is known to have news, or the copy was not confirmed for half of its bound, a random node of another failure domain is asked, every 0.4 s at most. The configuration is asked for with the version that is known, so that it is not sent for nothing. Timeouts grow by peer. Price: no calls to the store; while the store is silent 2.5 small calls a second from each node, to random ones.

--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -170,11 +170,23 @@
   void FetchNewer(PeerState state, TimePoint now);
   // Whether a peer's copy is newer than this node's.
   bool IsNewer(PeerState state, const NodeState& peer) const;
-  // Returns whom to ask for newer state now; empty if no peer has had any for
-  // long enough.
+  // Returns the peers that are known to have newer state; empty if none has had
+  // any for long enough.
   std::vector<Address> PeersToAsk(PeerState state, TimePoint now);
-  // Returns the version since which a peer's changes are of use; zero for the
-  // configuration.
+  // Returns the peers of any failure domain that have had newer state for long
+  // enough.
+  std::vector<Address> PeersWithNewer(PeerState state, TimePoint now);
+  // Asks a node of another failure domain, so that this one does not depend on
+  // its relays. Does nothing if one was asked just before.
+  void FetchElsewhere(PeerState state, TimePoint now);
+  // Calls one of `peers` for `target`.
+  void Fetch(PeerState state,
+             const std::vector<Address>& peers,
+             const std::string& target);
+  // Whether this node's copy was not confirmed for long.
+  bool IsAged(PeerState state) const;
+  // Returns the version since which a peer's changes are of use, or that of the
+  // configuration as the revision.
   StoreVersion BaseOf(PeerState state) const;
   // Returns the relays of this node's failure domain with newer state.
   std::vector<Address> RelaysWithNewer(PeerState state, TimePoint now) const;
@@ -242,6 +254,9 @@
   // Since when a peer has had newer state, by PeerState.
   std::array<std::optional<TimePoint>, std::size(kEnumNames<PeerState>)>
       behind_since_;
+  // When nodes of other failure domains were last asked, by PeerState.
+  std::array<std::optional<TimePoint>, std::size(kEnumNames<PeerState>)>
+      asked_elsewhere_at_;
   StoreReachability store_reachability_;
   PeerStateFetcher fetcher_;
   // Whether the store holds this node's registration.
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -12,6 +12,10 @@
 // arrives: the watches' batch delay and the slack, but no less than the delay.
 constexpr Duration kPeerFetchDelay = std::chrono::milliseconds(300);
 constexpr Duration kPeerFetchSlack = std::chrono::milliseconds(150);
+// Time between two calls to nodes of other failure domains.
+constexpr Duration kElsewhereInterval = std::chrono::milliseconds(400);
+// How many of these are chosen from, so that the load is spread.
+constexpr size_t kElsewhereChoices = 3;
 // A node waits this long for a relay before it follows the store itself.
 constexpr Duration kRelayWait = RelayRanking::kSilentAfter;
 // A node goes on following the store this long after it no longer has to, so
@@ -218,19 +222,63 @@
 }
 
 void GatewayNode::FetchNewer(PeerState state, TimePoint now) {
-  const std::vector<Address> peers = PeersToAsk(state, now);
-  if (peers.empty()) {
+  if (fetcher_.IsFetching(state)) {
+    return;
+  }
+  std::vector<Address> peers = PeersToAsk(state, now);
+  const bool knows_newer = !peers.empty();
+  std::erase_if(peers, [&](const Address& peer) {
+    return fetcher_.HasFailed(peer, now);
+  });
+  if (!peers.empty()) {
+    Fetch(state, peers,
+          state == PeerState::kConfig ? std::string(ToName(state))
+                                      : ListTarget(state, BaseOf(state)));
     return;
   }
-  const StoreVersion since = BaseOf(state);
-  fetcher_.Fetch(state, peers,
-                 state == PeerState::kConfig ? std::string(ToName(state))
-                                             : ListTarget(state, since),
-                 [this, state, since](const std::string& body) {
+  if (knows_newer || IsAged(state)) {
+    FetchElsewhere(state, now);
+  }
+}
+
+void GatewayNode::Fetch(PeerState state,
+                        const std::vector<Address>& peers,
+                        const std::string& target) {
+  fetcher_.Fetch(state, peers, target,
+                 [this, state, since = BaseOf(state)](const std::string& body) {
                    return OnPeerState(state, body, since);
                  });
 }
 
+void GatewayNode::FetchElsewhere(PeerState state, TimePoint now) {
+  auto& asked_at = asked_elsewhere_at_.at(static_cast<size_t>(state));
+  const std::vector<Address> peers = peers_.nodes().PeersElsewhere(now);
+  if (peers.empty() || (asked_at && now - *asked_at < kElsewhereInterval)) {
+    return;
+  }
+  asked_at = now;
+  state_.metrics.Count({.name = "gateway_asked_elsewhere_total",
+                        .request_class = std::string(ToName(state))});
+  std::vector<Address> chosen;
+  for (size_t i = 0; i < kElsewhereChoices; ++i) {
+    chosen.push_back(peers.at(state_.rng.Below(peers.size())));
+  }
+  // The one that is asked may have nothing newer.
+  Fetch(state, chosen, ListTarget(state, BaseOf(state)));
+}
+
+bool GatewayNode::IsAged(PeerState state) const {
+  switch (state) {
+    case PeerState::kConfig:
+      return state_.freshness.IsAged(StateKind::kConfig, BootNow());
+    case PeerState::kServers:
+      return state_.freshness.IsAged(StateKind::kServers, BootNow());
+    case PeerState::kNodes:
+      break;
+  }
+  return false;
+}
+
 std::vector<Address> GatewayNode::PeersToAsk(PeerState state, TimePoint now) {
   // A node that does not follow the store gets all its state from the relays of
   // its failure domain.
@@ -240,6 +288,11 @@
       return relays;
     }
   }
+  return PeersWithNewer(state, now);
+}
+
+std::vector<Address> GatewayNode::PeersWithNewer(PeerState state,
+                                                 TimePoint now) {
   std::vector<Address> peers = peers_.nodes().ResponsivePeers(
       [&](const NodeState& peer) { return IsNewer(state, peer); }, now);
   auto& behind_since = behind_since_.at(static_cast<size_t>(state));
@@ -256,7 +309,7 @@
 StoreVersion GatewayNode::BaseOf(PeerState state) const {
   switch (state) {
     case PeerState::kConfig:
-      break;
+      return {.epoch = 0, .revision = ConfigVersion()};
     case PeerState::kServers:
       return server_mirror_.base();
     case PeerState::kNodes:
@@ -290,14 +343,20 @@
 }
 
 bool GatewayNode::OnPeerConfig(const std::string& content) {
+  if (content.empty()) {
+    // The peer has nothing newer.
+    return false;
+  }
   const ServiceConfigPtr before = state_.config;
   OnConfigObject({.name = codec_.config_name, .content = content});
   return state_.config != before;
 }
 
 ServiceAnswer GatewayNode::AnswerPeer(const HttpHead& head) const {
-  if (head.target == ToName(PeerState::kConfig) && !config_content_.empty()) {
-    return {.body = config_content_};
+  const auto config = ParseListTarget(PeerState::kConfig, head.target);
+  if (config && !config_content_.empty()) {
+    const bool is_newer = ConfigVersion() > config->revision;
+    return {.body = is_newer ? config_content_ : std::string()};
   }
   const auto servers = ParseListTarget(PeerState::kServers, head.target);
   if (servers && server_mirror_.version().revision > 0) {
--- a/modules/qh_gateway/control/peer_state_fetcher.cpp
+++ b/modules/qh_gateway/control/peer_state_fetcher.cpp
@@ -52,13 +52,21 @@
   }
 }
 
+bool PeerStateFetcher::WasUseless(const Address& peer, TimePoint now) const {
+  const auto found = records_.find(peer.ToString());
+  return found != records_.end() && found->second.useless_at &&
+         now - *found->second.useless_at < kAvoidTime;
+}
+
+bool PeerStateFetcher::HasFailed(const Address& peer, TimePoint now) const {
+  return WasUseless(peer, now) && records_.at(peer.ToString()).failures > 0;
+}
+
 const Address& PeerStateFetcher::Choose(const std::vector<Address>& peers,
                                         TimePoint now) const {
   const auto useless_at = [&](const Address& peer) {
-    const auto found = useless_at_.find(peer.ToString());
-    const bool recent =
-        found != useless_at_.end() && now - found->second < kAvoidTime;
-    return recent ? found->second : TimePoint::min();
+    return WasUseless(peer, now) ? *records_.at(peer.ToString()).useless_at
+                                 : TimePoint::min();
   };
   return *std::min_element(peers.begin(), peers.end(),
                            [&](const Address& a, const Address& b) {
@@ -66,6 +74,18 @@
                            });
 }
 
+Duration PeerStateFetcher::TimeoutOf(const Address& peer) const {
+  const auto found = records_.find(peer.ToString());
+  const uint32_t failures =
+      found == records_.end() ? 0 : found->second.failures;
+  Duration timeout = kFirstTimeout;
+  for (uint32_t failure = 0; failure < failures && timeout < kMaxTimeout;
+       ++failure) {
+    timeout *= 2;
+  }
+  return timeout;
+}
+
 void PeerStateFetcher::Fetch(PeerState state,
                              const std::vector<Address>& peers,
                              const std::string& target,
@@ -80,13 +100,8 @@
     call.peer = peer;
   }
   call.open = true;
-  Duration timeout = kFirstTimeout;
-  for (uint32_t failure = 0; failure < call.failures && timeout < kMaxTimeout;
-       ++failure) {
-    timeout *= 2;
-  }
   call.client->Send(
-      {.target = target}, timeout,
+      {.target = target}, TimeoutOf(peer),
       [this, state, target, on_body = std::move(on_body)](
           const CallReply& reply) { OnReply(state, target, reply, on_body); });
 }
@@ -99,14 +114,16 @@
   call.open = false;
   const bool answered =
       reply.outcome == HttpCallOutcome::kAnswered && reply.status == kOk;
-  call.failures = answered ? 0 : call.failures + 1;
   log_.Write(LogLine(ToName(GatewayEvent::kPeerChanged))
                  .With("peer", call.peer.ToString())
                  .With("fetched", target)
                  .With("outcome", answered),
              GatewayEvent::kPeerChanged);
-  if (!answered || !on_body(reply.body)) {
-    useless_at_[call.peer.ToString()] = MonotonicNow();
+  const bool was_useful = answered && on_body(reply.body);
+  PeerRecord& record = records_[call.peer.ToString()];
+  record.failures = answered ? 0 : record.failures + 1;
+  if (!was_useful) {
+    record.useless_at = MonotonicNow();
   }
 }
 
--- a/modules/qh_gateway/control/peer_state_fetcher.h
+++ b/modules/qh_gateway/control/peer_state_fetcher.h
@@ -46,8 +46,8 @@
 
 class PeerStateFetcher {
  public:
-  // Timeout of the first call; it doubles with each one that fails in a row, up
-  // to the longest one.
+  // Timeout of the first call to a peer; it doubles with each one to that peer
+  // that fails in a row, up to the longest one.
   static constexpr Duration kFirstTimeout = std::chrono::milliseconds(400);
   static constexpr Duration kMaxTimeout = std::chrono::milliseconds(1'600);
   // How long a peer is asked last after it was of no use.
@@ -72,19 +72,32 @@
              const std::vector<Address>& peers,
              const std::string& target,
              OnBody on_body);
+  // Whether a call for this state is open.
+  bool IsFetching(PeerState state) const {
+    return calls_.at(static_cast<size_t>(state)).open;
+  }
+  // Whether the last call to the peer failed, and that was lately.
+  bool HasFailed(const Address& peer, TimePoint now) const;
 
  private:
   struct Call {
     std::shared_ptr<HttpClient> client;
     Address peer;
     bool open = false;
+  };
+  struct PeerRecord {
+    std::optional<TimePoint> useless_at;
     // Calls that failed in a row.
     uint32_t failures = 0;
   };
 
+  // Whether the peer was of no use lately.
+  bool WasUseless(const Address& peer, TimePoint now) const;
   // Returns the peer to ask: one of those that were not of no use lately, or
   // the one for which that is longest ago.
   const Address& Choose(const std::vector<Address>& peers, TimePoint now) const;
+  // Returns the timeout of the next call to `peer`.
+  Duration TimeoutOf(const Address& peer) const;
   void OnReply(PeerState state,
                const std::string& target,
                const CallReply& reply,
@@ -95,8 +108,8 @@
   std::shared_ptr<ByteBudget> budget_;
   // By PeerState.
   std::array<Call, std::size(kEnumNames<PeerState>)> calls_;
-  // When each peer was last of no use.
-  std::map<std::string, TimePoint> useless_at_;
+  // By address.
+  std::map<std::string, PeerRecord> records_;
 };
 
 }  // namespace qh
--- a/modules/qh_gateway/decisions/nodes/node_table.cpp
+++ b/modules/qh_gateway/decisions/nodes/node_table.cpp
@@ -132,6 +132,21 @@
   return peers;
 }
 
+std::vector<Address> NodeTable::PeersElsewhere(TimePoint now) const {
+  std::vector<Address> elsewhere;
+  std::vector<Address> all;
+  for (const auto& [node, entry] : nodes_) {
+    if (IsGone(entry, now)) {
+      continue;
+    }
+    all.push_back(entry.peers);
+    if (entry.domain != domain_) {
+      elsewhere.push_back(entry.peers);
+    }
+  }
+  return elsewhere.empty() ? all : elsewhere;
+}
+
 size_t NodeTable::KnownCount(TimePoint now) const {
   return static_cast<size_t>(std::count_if(
       nodes_.begin(), nodes_.end(),
--- a/modules/qh_gateway/decisions/nodes/node_table.h
+++ b/modules/qh_gateway/decisions/nodes/node_table.h
@@ -84,6 +84,9 @@
   std::vector<Address> ResponsivePeers(
       const std::function<bool(const NodeState&)>& matches,
       TimePoint now) const;
+  // Returns the addresses of the peers of other failure domains that are not
+  // gone, responsive or not; of all peers if there is but one domain.
+  std::vector<Address> PeersElsewhere(TimePoint now) const;
   // Returns how many responsive peers that follow the store come before this
   // node by name.
   size_t FollowersBeforeSelf(TimePoint now) const;
