--- a/modules/qh_gateway/control/peer_heartbeat.cpp
+++ b/modules/qh_gateway/control/peer_heartbeat.cpp
@@ -6,6 +6,7 @@
 
 #include "qh_core/text/bounded_json.h"
 #include "qh_core/text/utf8.h"
+#include "qh_gateway/control/crash_report_codec.h"
 #include "qh_gateway/control/rollout_report_codec.h"
 
 namespace qh {
@@ -175,92 +176,6 @@
   return HeartbeatScope::kNode;
 }
 
-// Times are sent as their age, because each node has a clock of its own.
-Json AgeToJson(TimePoint at, TimePoint now) {
-  return Duration(now - at).count();
-}
-
-TimePoint AgeFromJson(const Json& json, TimePoint now) {
-  return now - Duration(json.get<int64_t>());
-}
-
-Json CrashRecordsToJson(const std::vector<CrashRecord>& records,
-                        TimePoint now) {
-  Json list = Json::array();
-  for (const CrashRecord& record : records) {
-    list.push_back({record.content, record.server, AgeToJson(record.at, now),
-                    record.features});
-  }
-  return list;
-}
-
-std::vector<CrashRecord> CrashRecordsFromJson(const Json& json, TimePoint now) {
-  // Nodes of an earlier version send the first two fields alone.
-  constexpr size_t kFields = 4;
-  std::vector<CrashRecord> records;
-  for (const Json& entry : json) {
-    CrashRecord record{.server = entry.at(1), .content = entry.at(0)};
-    const bool complete = entry.size() >= kFields;
-    record.at = complete ? AgeFromJson(entry.at(2), now) : now;
-    record.features = complete ? entry.at(3).get<std::vector<Feature>>()
-                               : std::vector<Feature>{record.content};
-    std::sort(record.features.begin(), record.features.end());
-    records.push_back(std::move(record));
-  }
-  return records;
-}
-
-Json SoundAnswersToJson(const std::vector<SoundAnswer>& answers,
-                        TimePoint now) {
-  Json list = Json::array();
-  for (const SoundAnswer& answer : answers) {
-    list.push_back({answer.feature, AgeToJson(answer.began, now)});
-  }
-  return list;
-}
-
-Json VerdictsToJson(const std::vector<CrashVerdict>& verdicts, TimePoint now) {
-  Json list = Json::array();
-  for (const CrashVerdict& verdict : verdicts) {
-    list.push_back({verdict.features, AgeToJson(verdict.crashed, now),
-                    AgeToJson(verdict.decided, now),
-                    AgeToJson(verdict.refused, now), verdict.trials,
-                    verdict.crashes});
-  }
-  return list;
-}
-
-std::vector<CrashVerdict> VerdictsFromJson(const Json& json, TimePoint now) {
-  std::vector<CrashVerdict> verdicts;
-  for (const Json& entry : json) {
-    CrashVerdict verdict{.features = entry.at(0),
-                         .crashed = AgeFromJson(entry.at(1), now),
-                         .decided = AgeFromJson(entry.at(2), now),
-                         .refused = AgeFromJson(entry.at(3), now),
-                         .trials = entry.at(4),
-                         .crashes = entry.at(5)};
-    std::sort(verdict.features.begin(), verdict.features.end());
-    verdicts.push_back(std::move(verdict));
-  }
-  return verdicts;
-}
-
-CrashReport CrashReportFromJson(const Json& json, TimePoint now) {
-  CrashReport report{.made = now,
-                     .records = CrashRecordsFromJson(json.at("crash"), now)};
-  // Nodes of an earlier version don't send the others.
-  if (const auto sound = json.find("crash_sound"); sound != json.end()) {
-    for (const Json& entry : *sound) {
-      report.sound.push_back({entry.at(0), AgeFromJson(entry.at(1), now)});
-    }
-  }
-  if (const auto verdicts = json.find("crash_verdicts");
-      verdicts != json.end()) {
-    report.verdicts = VerdictsFromJson(*verdicts, now);
-  }
-  return report;
-}
-
 // Encodes an unknown time as null.
 Json AgoToJson(const std::optional<Duration>& ago) {
   return ago ? Json(ago->count()) : Json();
@@ -379,49 +294,46 @@
 }  // namespace
 
 std::string PeerHeartbeat::Encode() const {
-  const Json json{
-      {"format", kFormat},
-      {"node", node},
-      {"inc", incarnation},
-      {"seq", sequence},
-      {"up", uptime.count()},
-      {"wall", wall_time.count()},
-      {"ready", ready},
-      {"drain", draining},
-      {"host", caller_address.host},
-      {"port", caller_address.port},
-      {"config", config_version},
-      {"config_confirmed", ConfirmationToJson(config_confirmed)},
-      {"epoch", store_epoch ? Json(*store_epoch) : Json()},
-      {"domain", failure_domain.value()},
-      {"scope", static_cast<int>(scope)},
-      {"covers", covered_nodes},
-      {"relay", relay},
-      {"leader", leader},
-      {"follows", follows_store},
-      {"members", MembersToJson(members)},
-      {"servers", VersionToJson(servers_version)},
-      {"servers_digest", servers_digest ? Json(*servers_digest) : Json()},
-      {"servers_confirmed", ConfirmationToJson(servers_confirmed)},
-      {"servers_changed", VersionToJson(servers_changed)},
-      {"nodes_changed", VersionToJson(nodes_changed)},
-      {"leaving", DeparturesToJson(departures)},
-      {"paused", PausesToJson(pauses)},
-      {"limits", RateLimitsToJson(rate_limits)},
-      {"reported", reported_window},
-      {"answered", AgoToJson(store_reachability.answered_ago)},
-      {"returned", AgoToJson(store_reachability.recovered_ago)},
-      {"failing", AgoToJson(store_reachability.failing_ago)},
-      {"steady", AgoToJson(store_reachability.steady_ago)},
-      {"open", OutstandingWorkToJson(outstanding_work)},
-      {"totals", TotalsToJson(team_totals)},
-      {"usage", UsageToJson(usage)},
-      {"crash", CrashRecordsToJson(crashes.records, crashes.made)},
-      {"crash_sound", SoundAnswersToJson(crashes.sound, crashes.made)},
-      {"crash_verdicts", VerdictsToJson(crashes.verdicts, crashes.made)},
-      {"rollouts", RolloutReportsToJson(rollouts)},
-      {"reading", prefill_rates},
-      {"speeds", SpeedsToJson(server_speeds)}};
+  Json json{{"format", kFormat},
+            {"node", node},
+            {"inc", incarnation},
+            {"seq", sequence},
+            {"up", uptime.count()},
+            {"wall", wall_time.count()},
+            {"ready", ready},
+            {"drain", draining},
+            {"host", caller_address.host},
+            {"port", caller_address.port},
+            {"config", config_version},
+            {"config_confirmed", ConfirmationToJson(config_confirmed)},
+            {"epoch", store_epoch ? Json(*store_epoch) : Json()},
+            {"domain", failure_domain.value()},
+            {"scope", static_cast<int>(scope)},
+            {"covers", covered_nodes},
+            {"relay", relay},
+            {"leader", leader},
+            {"follows", follows_store},
+            {"members", MembersToJson(members)},
+            {"servers", VersionToJson(servers_version)},
+            {"servers_digest", servers_digest ? Json(*servers_digest) : Json()},
+            {"servers_confirmed", ConfirmationToJson(servers_confirmed)},
+            {"servers_changed", VersionToJson(servers_changed)},
+            {"nodes_changed", VersionToJson(nodes_changed)},
+            {"leaving", DeparturesToJson(departures)},
+            {"paused", PausesToJson(pauses)},
+            {"limits", RateLimitsToJson(rate_limits)},
+            {"reported", reported_window},
+            {"answered", AgoToJson(store_reachability.answered_ago)},
+            {"returned", AgoToJson(store_reachability.recovered_ago)},
+            {"failing", AgoToJson(store_reachability.failing_ago)},
+            {"steady", AgoToJson(store_reachability.steady_ago)},
+            {"open", OutstandingWorkToJson(outstanding_work)},
+            {"totals", TotalsToJson(team_totals)},
+            {"usage", UsageToJson(usage)},
+            {"rollouts", RolloutReportsToJson(rollouts)},
+            {"reading", prefill_rates},
+            {"speeds", SpeedsToJson(server_speeds)}};
+  AddCrashReport(crashes, json);
   std::string bytes;
   Json::to_msgpack(json, bytes);
   return bytes;
--- a/modules/qh_gateway/qh_gateway.h
+++ b/modules/qh_gateway/qh_gateway.h
@@ -20,6 +20,7 @@
 #define QH_GATEWAY_QH_GATEWAY_H_
 
 // clang-format off
+#include "qh_gateway/control/crash_report_codec.h"
 #include "qh_gateway/control/deployment_record.h"
 #include "qh_gateway/control/event_log.h"
 #include "qh_gateway/control/gateway_node.h"
