Gateway: a heartbeat that tells of steadiness but of no answer is harmless

Cause: IsContradicted read the time of a peer's last answer without asking whether the peer had told one; a malformed heartbeat could make it read an empty value.

--- a/modules/qh_gateway/decisions/store/store_reachability.cpp
+++ b/modules/qh_gateway/decisions/store/store_reachability.cpp
@@ -66,7 +66,9 @@
   }
   // What is left of the outage after the last answer is too short to matter.
   const auto was_steady = [&](const Answers& answers) {
-    return answers.steady_since && *answers.steady_since <= *outage.began &&
+    const bool began_before =
+        answers.steady_since && *answers.steady_since <= *outage.began;
+    return began_before && answers.last &&
            *answers.last + kSteadyGap >= outage.ended;
   };
   return was_steady(own_) ||
--- a/tests/qh_gateway/store_reachability_test.cpp
+++ b/tests/qh_gateway/store_reachability_test.cpp
@@ -99,4 +99,16 @@
   CHECK(deployment.KeepingMissing() == 0);
 }
 
+// What a heartbeat tells may be incomplete.
+TEST_CASE("a peer that tells of no answer contradicts no outage") {
+  StoreReachability node;
+  node.OnPeer("peer", {.steady_ago = seconds(60)}, kStart);
+  node.OnPeer("returned",
+              {.answered_ago = Duration::zero(),
+               .recovered_ago = Duration::zero(),
+               .failing_ago = seconds(5)},
+              kStart);
+  CHECK(node.KeepsMissingServers(kStart));
+}
+
 }  // namespace qh
