--- a/modules/qh_gateway/control/gateway_node.h
+++ b/modules/qh_gateway/control/gateway_node.h
@@ -1,7 +1,8 @@
 // One gateway process: its listeners, its view of the store and of the other
 // nodes, the leader's tasks, and its start, reload and stop. The implementation
 // is in gateway_node.cpp (life cycle, HTTP services), gateway_node_peers.cpp
-// (the other nodes) and gateway_node_store.cpp (the store).
+// (the other nodes), gateway_node_store.cpp (the store) and
+// gateway_node_metrics.cpp (metrics).
 
 #ifndef QH_GATEWAY_CONTROL_GATEWAY_NODE_H_
 #define QH_GATEWAY_CONTROL_GATEWAY_NODE_H_
--- a/modules/qh_gateway/control/gateway_node_peers.cpp
+++ b/modules/qh_gateway/control/gateway_node_peers.cpp
@@ -12,9 +12,11 @@
 // arrives: the watches' batch delay and the slack, but no less than the delay.
 constexpr Duration kPeerFetchDelay = std::chrono::milliseconds(300);
 constexpr Duration kPeerFetchSlack = std::chrono::milliseconds(150);
-// Time between two calls to nodes of other failure domains.
+// Time between two calls to nodes of other failure domains for one kind of
+// state. Short enough that within a bound several of them may fail.
 constexpr Duration kElsewhereInterval = std::chrono::milliseconds(400);
-// How many of these are chosen from, so that the load is spread.
+// Nodes drawn at random for such a call; the fetcher avoids those that were of
+// no use. Random, so that no node is asked by all.
 constexpr size_t kElsewhereChoices = 3;
 // A node waits this long for a relay before it follows the store itself.
 constexpr Duration kRelayWait = RelayRanking::kSilentAfter;
@@ -191,8 +193,8 @@
     case PeerState::kConfig:
       return peer.config_version > ConfigVersion();
     case PeerState::kServers:
-      // Of two copies of copies of one version nobody knows which one is
-      // wrong.
+      // In doubt, a copy of the same version is taken only from a node that
+      // reads the store: of two copied ones either may be wrong.
       return server_mirror_.IsBehind(peer.servers) &&
              (!server_mirror_.is_in_doubt() || peer.follows_store ||
               peer.servers.version > server_mirror_.version());
@@ -227,6 +229,7 @@
   }
   std::vector<Address> peers = PeersToAsk(state, now);
   const bool knows_newer = !peers.empty();
+  // A relay whose heartbeats arrive may still not answer calls.
   std::erase_if(peers, [&](const Address& peer) {
     return fetcher_.HasFailed(peer, now);
   });
@@ -263,7 +266,8 @@
   for (size_t i = 0; i < kElsewhereChoices; ++i) {
     chosen.push_back(peers.at(state_.rng.Below(peers.size())));
   }
-  // The one that is asked may have nothing newer.
+  // The version goes along for the configuration too, so that a node with
+  // nothing newer does not send all of it.
   Fetch(state, chosen, ListTarget(state, BaseOf(state)));
 }
 
@@ -309,6 +313,7 @@
 StoreVersion GatewayNode::BaseOf(PeerState state) const {
   switch (state) {
     case PeerState::kConfig:
+      // Configurations are numbered by the operator, in no epoch.
       return {.epoch = 0, .revision = ConfigVersion()};
     case PeerState::kServers:
       return server_mirror_.base();
--- a/modules/qh_gateway/control/peer_state_fetcher.h
+++ b/modules/qh_gateway/control/peer_state_fetcher.h
@@ -36,7 +36,8 @@
     {PeerState::kNodes, "/nodes"},
 };
 
-// Returns the target of a call for the changes of a list since `version`.
+// Returns the target of a call for the changes of a list since `version`, or
+// for the configuration if it is newer than the revision there.
 std::string ListTarget(PeerState list, const StoreVersion& version);
 
 // Returns the version in the target of a call for `list`; version zero, which
--- a/modules/qh_gateway/decisions/store/store_mirror.cpp
+++ b/modules/qh_gateway/decisions/store/store_mirror.cpp
@@ -93,6 +93,7 @@
   for (const StoredObject& object : objects) {
     contents[object.name] = object.content;
   }
+  // What came and went between the two versions a list does not show.
   Step step{.since = version_,
             .version = version,
             .objects = DifferenceTo(contents),
@@ -215,7 +216,7 @@
     return;
   }
   if (peer.changed > version_) {
-    // Objects changed, and changed back.
+    // Objects changed, and changed back; which ones is not known.
     Remember({.since = version_, .version = peer.changed, .is_gapless = false});
   }
   version_ = peer.version;
--- a/modules/qh_gateway/decisions/store/store_reachability.cpp
+++ b/modules/qh_gateway/decisions/store/store_reachability.cpp
@@ -64,7 +64,8 @@
   if (!outage.began) {
     return false;
   }
-  // What is left of the outage after the last answer is too short to matter.
+  // The last answer may be from before the outage's end: in what is left of it
+  // no registration can have expired.
   const auto was_steady = [&](const Answers& answers) {
     const bool began_before =
         answers.steady_since && *answers.steady_since <= *outage.began;
--- a/tests/qh_gateway/skipped_change_test.cpp
+++ b/tests/qh_gateway/skipped_change_test.cpp
@@ -37,6 +37,8 @@
     not_told.insert(skipping);
     Hold({skipping});
     PutServer(kShortLived, false);
+    // One of them knows the server, and its next watch is yet to begin: the
+    // store won't answer that one.
     REQUIRE(TimeUntil(
         [&] {
           return std::any_of(others.begin(), others.end(), [&](size_t node) {
--- a/tests/qh_gateway/store_mirror_search_test.cpp
+++ b/tests/qh_gateway/store_mirror_search_test.cpp
@@ -28,7 +28,7 @@
  public:
   explicit History(Rng& rng) : rng_(rng) {}
 
-  // Some revisions are those of other kinds of objects.
+  // Adds a revision. In a third of them an object of another kind changed.
   void Change() {
     std::map<std::string, std::string> state = states_.back();
     std::optional<StoredObject> change;
@@ -84,6 +84,8 @@
  public:
   explicit Search(uint64_t seed) : rng_(seed), store_(rng_) {}
 
+  // Does one thing, drawn at random; the store changes twice as often as any
+  // other thing happens.
   void Step() {
     StoreMirror& mirror = mirrors_[rng_.Below(kMirrors)];
     const StoreMirror& peer = mirrors_[rng_.Below(kMirrors)];
